Add settings, numbered events, measures and trace spans

Cause: every process needs checked settings, a log that scripts can read, measures and spans before the node can be put together.

--- /dev/null
+++ b/Source/Metrics/Metrics.h
@@ -0,0 +1,5 @@
+// Public header of Metrics.
+#pragma once
+
+#include "Metrics/LatencyDistribution.h"
+#include "Metrics/MetricRegistry.h"
--- /dev/null
+++ b/Source/Settings/NodeSettings.h
@@ -0,0 +1,104 @@
+// The configuration tree of one node. Each default stands beside its member; ranges and units are in SettingsSchema.
+#pragma once
+
+#include "Base/Identifiers.h"
+#include "Base/Time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Berylport {
+
+struct NodeSection {
+    ZoneName zone;
+    RegionName region;
+};
+
+struct ListenSection {
+    // Callers' HTTP.
+    Endpoint caller { .address = "127.0.0.1", .port = 7080 };
+    // Targets on this VM announce themselves here; also serves the measures page. Loopback only.
+    Endpoint local { .address = "127.0.0.1", .port = 7081 };
+    Endpoint operators { .address = "127.0.0.1", .port = 7082 };
+    // Other nodes reach these two, so they hold the VM's own IP number.
+    Endpoint peer { .address = "127.0.0.1", .port = 7083 };
+    Endpoint gossip { .address = "127.0.0.1", .port = 7084 };
+};
+
+struct PlatformSection {
+    std::optional<Endpoint> table;
+    std::optional<Endpoint> objects;
+    Duration timeout { std::chrono::milliseconds(500) };
+    // This node's part of the fleet's store writes.
+    uint32_t writesPerSecond { 20 };
+};
+
+struct MembershipSection {
+    // Gossip endpoints asked first; the table's seed rows are asked as well.
+    std::vector<Endpoint> seeds;
+    Duration probeInterval { std::chrono::milliseconds(500) };
+    Duration suspicionTime { std::chrono::seconds(5) };
+};
+
+struct CallerSection {
+    uint32_t maximumConnections { 1000 };
+    uint32_t maximumHeaderBytes { 16 * 1024 };
+    uint32_t maximumBodyBytes { 1024 * 1024 };
+    Duration readTimeout { std::chrono::seconds(10) };
+    Duration idleTimeout { std::chrono::seconds(60) };
+};
+
+struct TargetSection {
+    uint32_t maximumConnections { 250 };
+    uint32_t maximumAnswerBytes { 4 * 1024 * 1024 };
+    Duration connectTimeout { std::chrono::milliseconds(500) };
+    // An announcement that has not been renewed for this long has lapsed.
+    Duration announcementTimeout { std::chrono::seconds(6) };
+};
+
+struct RoutingSection {
+    // fresh-load, two-choices, least-reported, round-robin or random.
+    std::string policy { "fresh-load" };
+    // What a round trip to another zone of the region costs.
+    Duration crossZoneRoundTrip { std::chrono::milliseconds(3) };
+};
+
+struct MeasureSection {
+    // Share of the calls' own bytes, and of one core.
+    double byteShare { 0.01 };
+    double cpuShare { 0.005 };
+};
+
+struct LogSection {
+    std::string level { "info" };
+    // Empty: standard error only, as the VMs have no disks.
+    std::string file;
+};
+
+struct TraceSection {
+    // "none", "stderr" or a path that gets one JSON object a line.
+    std::string output { "none" };
+};
+
+struct ShutdownSection {
+    // Above the longest caller wait of 5 minutes, so that no call in flight is cut off by it.
+    Duration drainLimit { std::chrono::seconds(330) };
+};
+
+struct NodeSettings {
+    NodeSection node;
+    ListenSection listen;
+    PlatformSection platform;
+    MembershipSection membership;
+    CallerSection caller;
+    TargetSection target;
+    RoutingSection routing;
+    MeasureSection measure;
+    LogSection log;
+    TraceSection trace;
+    ShutdownSection shutdown;
+};
+
+} // namespace Berylport
