Add membership by gossip with failure detection and contact check

Cause: there is no list of targets, and a heartbeat per node would take the store's whole write capacity. Change: SWIM-style probes with indirect probes, suspicion and refutation; piggybacked records; digests of 64 buckets; a contact check that tells a node within 6 s that it is on the small side of a cut. Ruled out: finding a cut by counting declared deaths. A trial in virtual time had not noticed the cut after 60 s, because a cut-off node takes itself for slow and stretches its waits up to nine times.

--- /dev/null
+++ b/Source/Membership/MembershipService.cpp
@@ -0,0 +1,576 @@
+// Gossip: what is sent to whom, and what is learned from it.
+#include "Membership/MembershipService.h"
+
+#include "Base/Overloaded.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Berylport {
+
+namespace {
+
+// Seeds asked at once; a long list must not make the start of many nodes a burst.
+constexpr size_t seedsAskedAtOnce = 3;
+
+// A relayed probe whose answer has not come by then has failed.
+constexpr Duration relayLimit = std::chrono::seconds(5);
+
+constexpr Duration expiryInterval = std::chrono::seconds(1);
+
+} // namespace
+
+size_t estimateBytes(const MemberRecord& record)
+{
+    // Measured on packed messages: fixed fields and two IPv4 endpoints take below 80 bytes.
+    size_t n = 80 + record.zone.text.size() + record.region.text.size();
+    for (auto& it : record.targets)
+        n += 24 + it.service.text.size();
+    return n;
+}
+
+MembershipService::MembershipService(const MembershipOptions& options, MemberRecord self, uint64_t seed, Instant now)
+    : m_options(options)
+    , m_table(options.table, std::move(self), now)
+    , m_detector(options.detector)
+    , m_contact(options.contact)
+    , m_random(seed)
+    , m_nextDigest(now + options.digestInterval)
+    , m_nextDeadProbe(now + options.deadProbeInterval)
+    , m_nextExpiry(now + expiryInterval)
+{
+}
+
+// --- joining and leaving
+
+void MembershipService::join(std::span<const Endpoint> seeds, Instant now, MembershipActions& actions)
+{
+    m_seeds.assign(seeds.begin(), seeds.end());
+    m_joinStarted = now;
+    m_isCatchingUp = true;
+    askSeeds(now, actions);
+}
+
+void MembershipService::askSeeds(Instant now, MembershipActions& actions)
+{
+    m_nextJoin = now + m_options.detector.probeInterval;
+    for (size_t n = 0; n < std::min(seedsAskedAtOnce, m_seeds.size()); ++n) {
+        GossipPing ping { .sequence = m_detector.takeSequence(), .sender = m_table.self().node };
+        ping.content = makeContent({});
+        ping.content.digest = m_table.digest();
+        actions.push_back(SendGossip { .to = m_seeds[m_random.below(m_seeds.size())], .message = std::move(ping) });
+    }
+}
+
+void MembershipService::catchUp(Instant now, MembershipActions& actions)
+{
+    if (!m_isCatchingUp || now < m_nextJoin)
+        return;
+    if (!m_hasJoined) {
+        askSeeds(now, actions);
+        return;
+    }
+    if (now - m_joinStarted >= m_options.joinLimit) {
+        m_isCatchingUp = false;
+        return;
+    }
+    m_nextJoin = now + m_options.joinInterval;
+    for (NodeId it : sample(m_table.presentNodes(), 1))
+        sendPing(it, m_detector.takeSequence(), true, actions);
+}
+
+void MembershipService::leave(Instant, MembershipActions& actions)
+{
+    m_table.updateSelf(m_table.self().targets, MemberState::Leaving);
+    m_queue.push(m_table.self().node);
+    for (NodeId it : sample(m_table.presentNodes(), m_options.leaveFanout))
+        tell(it, actions);
+}
+
+// --- receiving
+
+void MembershipService::receive(
+    const GossipMessage& message, const Endpoint& from, Instant now, MembershipActions& actions)
+{
+    std::visit(
+        [&](auto& it) {
+            if (it.sender == m_table.self().node || it.sender.isNull())
+                return;
+            receiveContent(it.sender, it.content, now, actions);
+            handle(it, from, now, actions);
+        },
+        message);
+}
+
+void MembershipService::receiveContent(
+    NodeId sender, const GossipContent& content, Instant now, MembershipActions& actions)
+{
+    m_hasJoined = true;
+    for (auto& it : content.records) {
+        mergeRecord(it, now, actions);
+        if (it.node == sender) {
+            actions.push_back(PeerVersionSeen { .node = sender, .peer = it.peer, .version = it.configurationVersion });
+        }
+    }
+    if (content.coordinator)
+        learnCoordinator(*content.coordinator, actions);
+}
+
+void MembershipService::noteDeadSender(NodeId sender)
+{
+    m_senderWasDead.reset();
+    const Member* member = m_table.find(sender);
+    if (member && member->record.state == MemberState::Dead)
+        m_senderWasDead = member->record;
+}
+
+void MembershipService::handle(const GossipPing& ping, const Endpoint& from, Instant, MembershipActions& actions)
+{
+    GossipAck ack { .sequence = ping.sequence, .sender = m_table.self().node, .content = makeContent(ping.sender) };
+    if (m_senderWasDead)
+        ack.content.records.push_back(*m_senderWasDead);
+    answerDigest(ping.content, from, ack.content, actions);
+    sendBuckets(ping.content.requestedBuckets, from, actions);
+    actions.push_back(SendGossip { .to = from, .message = std::move(ack) });
+}
+
+void MembershipService::handle(const GossipAck& ack, const Endpoint& from, Instant, MembershipActions& actions)
+{
+    m_detector.answered(ack.sender, ack.sequence);
+    m_contact.answered(ack.sequence);
+    // Any answer to a probe is contact; sequence zero belongs to none.
+    if (ack.sequence)
+        m_contact.probeAnswered();
+    sendBuckets(ack.content.requestedBuckets, from, actions);
+    if (ack.content.digest && *ack.content.digest == m_table.digest())
+        m_isCatchingUp = false;
+    auto relayed = m_relayed.find(ack.sequence);
+    if (relayed == m_relayed.end() || relayed->second.target != ack.sender)
+        return;
+    GossipAck answer { .sequence = relayed->second.askerSequence, .sender = ack.sender };
+    actions.push_back(SendGossip { .to = relayed->second.asker, .message = std::move(answer) });
+    m_relayed.erase(relayed);
+}
+
+void MembershipService::handle(
+    const GossipPingRequest& request, const Endpoint& from, Instant now, MembershipActions& actions)
+{
+    uint64_t sequence = m_detector.takeSequence();
+    m_relayed[sequence]
+        = { .asker = from, .askerSequence = request.sequence, .target = request.target, .expires = now + relayLimit };
+    GossipPing ping { .sequence = sequence, .sender = m_table.self().node, .content = makeContent(request.target) };
+    actions.push_back(SendGossip { .to = request.targetEndpoint, .message = std::move(ping) });
+}
+
+void MembershipService::answerDigest(
+    const GossipContent& asked, const Endpoint& to, GossipContent& answer, MembershipActions& actions)
+{
+    if (!asked.digest)
+        return;
+    answer.digest = m_table.digest();
+    answer.requestedBuckets = differingBuckets(*asked.digest);
+    sendBuckets(answer.requestedBuckets, to, actions);
+}
+
+std::vector<uint8_t> MembershipService::differingBuckets(const GossipDigest& other) const
+{
+    GossipDigest own = m_table.digest();
+    std::vector<uint8_t> buckets;
+    for (size_t n = 0; n < gossipBucketCount; ++n) {
+        if (own[n] != other[n])
+            buckets.push_back(static_cast<uint8_t>(n));
+    }
+    return buckets;
+}
+
+void MembershipService::sendBuckets(std::span<const uint8_t> buckets, const Endpoint& to, MembershipActions& actions)
+{
+    if (buckets.empty())
+        return;
+    // The bound on datagrams cuts the list off, so each exchange begins at another bucket.
+    size_t first = m_random.below(buckets.size());
+    GossipContent content;
+    size_t bytes = 0;
+    size_t datagrams = 0;
+    auto flush = [&] {
+        if (content.records.empty())
+            return;
+        // Sequence zero answers no probe.
+        GossipAck message { .sequence = 0, .sender = m_table.self().node, .content = std::exchange(content, {}) };
+        actions.push_back(SendGossip { .to = to, .message = std::move(message) });
+        bytes = 0;
+        ++datagrams;
+    };
+    for (size_t n = 0; n < buckets.size(); ++n) {
+        for (auto& record : m_table.recordsInBucket(buckets[(first + n) % buckets.size()])) {
+            size_t size = estimateBytes(record);
+            if (bytes + size > m_options.maximumRecordBytes)
+                flush();
+            if (datagrams >= m_options.maximumBucketDatagrams)
+                return;
+            bytes += size;
+            content.records.push_back(record);
+        }
+    }
+    flush();
+}
+
+// --- records
+
+void MembershipService::mergeRecord(const MemberRecord& record, Instant now, MembershipActions& actions)
+{
+    if (record.node == m_table.self().node) {
+        refuteIfNeeded(record, actions);
+        return;
+    }
+    const Member* held = m_table.find(record.node);
+    std::optional<MemberState> before;
+    if (held)
+        before = held->record.state;
+    switch (m_table.merge(record, now)) {
+    case MergeResult::Unchanged:
+        return;
+    case MergeResult::New:
+    case MergeResult::StateChanged:
+        stateChanged(record, before, now, actions);
+        [[fallthrough]];
+    case MergeResult::Updated:
+        // Whoever sent the state to a new member has it spread already.
+        if (!m_isCatchingUp)
+            m_queue.push(record.node);
+        actions.push_back(MembersChanged {});
+        return;
+    }
+}
+
+void MembershipService::refuteIfNeeded(const MemberRecord& record, MembershipActions& actions)
+{
+    bool isAccused = record.state == MemberState::Suspect || record.state == MemberState::Dead;
+    if (!isAccused || m_table.self().state == MemberState::Leaving)
+        return;
+    // A suspicion that was refuted in time may still have been followed by a declared death elsewhere.
+    if (record.state == MemberState::Dead && record.version > m_lastDeathVersion) {
+        m_lastDeathVersion = record.version;
+        actions.push_back(DeclaredDead {});
+    }
+    if (record.version < m_table.self().version)
+        return;
+    m_table.refute(record.version);
+    m_queue.push(m_table.self().node);
+}
+
+void MembershipService::stateChanged(
+    const MemberRecord& record, std::optional<MemberState> before, Instant now, MembershipActions& actions)
+{
+    auto report = [&](MemberEventKind kind) { actions.push_back(MemberEvent { .node = record.node, .kind = kind }); };
+    switch (record.state) {
+    case MemberState::Alive:
+        m_detector.cleared(record.node);
+        report(before ? MemberEventKind::Recovered : MemberEventKind::Joined);
+        break;
+    case MemberState::Suspect:
+        m_detector.suspected(record.node, now);
+        report(MemberEventKind::Suspected);
+        break;
+    case MemberState::Dead:
+        m_detector.cleared(record.node);
+        // A node that is heard of only after its death was never a member here.
+        if (before)
+            report(MemberEventKind::Dead);
+        break;
+    case MemberState::Leaving:
+        m_detector.cleared(record.node);
+        if (before)
+            report(MemberEventKind::Left);
+        break;
+    }
+    m_detector.setMembers(m_table.presentNodes());
+}
+
+void MembershipService::checkContact(Instant now, MembershipActions& actions)
+{
+    if (m_contact.isDue(now)) {
+        m_contact.begin(now);
+        askSample(true, actions);
+        askSample(false, actions);
+    }
+    if (m_contact.finishIfOver(now))
+        actions.push_back(ContactChanged { .isCutOff = m_contact.isCutOff() });
+}
+
+void MembershipService::askSample(bool isOwnZone, MembershipActions& actions)
+{
+    std::vector<NodeId> nodes = othersInRegion();
+    std::erase_if(
+        nodes, [&](NodeId it) { return (m_table.find(it)->record.zone == m_table.self().zone) != isOwnZone; });
+    for (NodeId it : sample(std::move(nodes), m_options.contact.sampleSize)) {
+        uint64_t sequence = m_detector.takeSequence();
+        m_contact.asked(sequence, isOwnZone);
+        sendPing(it, sequence, false, actions);
+    }
+}
+
+void MembershipService::learnCoordinator(const CoordinatorInfo& info, MembershipActions& actions)
+{
+    auto [it, isNew] = m_coordinators.try_emplace(info.zone, info);
+    if (!isNew && it->second.fencingToken >= info.fencingToken)
+        return;
+    it->second = info;
+    actions.push_back(CoordinatorLearned { .coordinator = info });
+}
+
+// --- time
+
+void MembershipService::paused(Instant now)
+{
+    m_detector.paused(now);
+    m_contact.reset();
+}
+
+void MembershipService::tick(Instant now, MembershipActions& actions)
+{
+    std::vector<DetectorAction> detections;
+    m_detector.tick(now, m_random, detections);
+    for (auto& detection : detections)
+        std::visit([&](auto& it) { handle(it, now, actions); }, detection);
+    catchUp(now, actions);
+    checkContact(now, actions);
+    probeDeadMember(now, actions);
+    if (now < m_nextExpiry)
+        return;
+    m_nextExpiry = now + expiryInterval;
+    m_table.removeExpired(now);
+    std::erase_if(m_relayed, [&](auto& entry) { return now >= entry.second.expires; });
+}
+
+Instant MembershipService::nextWake() const
+{
+    Instant next = std::min(m_detector.nextWake(), m_nextExpiry);
+    if (m_contact.isRunning() || m_contact.isCutOff())
+        next = std::min(next, m_contact.nextWake());
+    return m_isCatchingUp ? std::min(next, m_nextJoin) : next;
+}
+
+void MembershipService::handle(const ProbeMember& probe, Instant now, MembershipActions& actions)
+{
+    bool withDigest = now >= m_nextDigest;
+    if (withDigest)
+        m_nextDigest = now + m_options.digestInterval;
+    sendPing(probe.node, probe.sequence, withDigest, actions);
+}
+
+void MembershipService::handle(const ProbeThroughOthers& probe, Instant, MembershipActions& actions)
+{
+    const Member* target = m_table.find(probe.node);
+    if (!target)
+        return;
+    for (NodeId it : probe.helpers) {
+        const Member* helper = m_table.find(it);
+        if (!helper)
+            continue;
+        GossipPingRequest request { .sequence = probe.sequence,
+            .sender = m_table.self().node,
+            .target = probe.node,
+            .targetEndpoint = target->record.gossip,
+            .content = makeContent(it) };
+        actions.push_back(SendGossip { .to = helper->record.gossip, .message = std::move(request) });
+    }
+}
+
+void MembershipService::handle(const SuspectMember& suspect, Instant now, MembershipActions& actions)
+{
+    m_contact.probeMissed();
+    const Member* member = m_table.find(suspect.node);
+    if (!member || !m_table.setState(suspect.node, member->record.version, MemberState::Suspect, now))
+        return;
+    m_queue.push(suspect.node);
+    actions.push_back(MemberEvent { .node = suspect.node, .kind = MemberEventKind::Suspected });
+    actions.push_back(MembersChanged {});
+}
+
+void MembershipService::handle(const DeclareDead& dead, Instant now, MembershipActions& actions)
+{
+    const Member* member = m_table.find(dead.node);
+    if (!member || !m_table.setState(dead.node, member->record.version, MemberState::Dead, now))
+        return;
+    m_queue.push(dead.node);
+    stateChanged(m_table.find(dead.node)->record, MemberState::Suspect, now, actions);
+    actions.push_back(MembersChanged {});
+}
+
+void MembershipService::probeDeadMember(Instant now, MembershipActions& actions)
+{
+    if (now < m_nextDeadProbe)
+        return;
+    m_nextDeadProbe = now + m_options.deadProbeInterval;
+    std::vector<NodeId> dead;
+    for (auto& [node, member] : m_table.others()) {
+        if (member.record.state == MemberState::Dead)
+            dead.push_back(node);
+    }
+    if (dead.empty())
+        return;
+    std::ranges::sort(dead);
+    sendPing(dead[m_random.below(dead.size())], m_detector.takeSequence(), true, actions);
+}
+
+// --- sending
+
+GossipContent MembershipService::makeContent(NodeId receiver)
+{
+    GossipContent content;
+    content.records.push_back(m_table.self());
+    size_t bytes = estimateBytes(m_table.self());
+    auto append = [&](const MemberRecord& record) {
+        bytes += estimateBytes(record);
+        content.records.push_back(record);
+    };
+    const Member* known = m_table.find(receiver);
+    bool isAccused = known && known->record.state != MemberState::Alive && known->record.state != MemberState::Leaving;
+    if (isAccused)
+        append(known->record);
+    m_queue.take(sendsToReachAll(m_table.presentCount()), [&](NodeId node) {
+        const Member* member = m_table.find(node);
+        // The own record and the receiver's are in the message already, and an expired one needs no sending.
+        if (!member || (isAccused && node == receiver))
+            return true;
+        if (bytes + estimateBytes(member->record) > m_options.maximumRecordBytes)
+            return false;
+        append(member->record);
+        return true;
+    });
+    addCoordinator(content);
+    return content;
+}
+
+void MembershipService::addCoordinator(GossipContent& content)
+{
+    if (m_coordinators.empty())
+        return;
+    // The own zone's in every second message, the others' in turn.
+    auto own = m_coordinators.find(m_table.self().zone);
+    size_t turn = m_nextCoordinator++;
+    if (turn % 2 == 0 && own != m_coordinators.end()) {
+        content.coordinator = own->second;
+        return;
+    }
+    auto it = std::next(m_coordinators.begin(), static_cast<ptrdiff_t>(turn / 2 % m_coordinators.size()));
+    content.coordinator = it->second;
+}
+
+void MembershipService::sendPing(NodeId node, uint64_t sequence, bool withDigest, MembershipActions& actions)
+{
+    const Member* member = m_table.find(node);
+    if (!member)
+        return;
+    GossipPing ping { .sequence = sequence, .sender = m_table.self().node, .content = makeContent(node) };
+    if (withDigest)
+        ping.content.digest = m_table.digest();
+    actions.push_back(SendGossip { .to = member->record.gossip, .message = std::move(ping) });
+}
+
+void MembershipService::tell(NodeId node, MembershipActions& actions)
+{
+    sendPing(node, m_detector.takeSequence(), false, actions);
+}
+
+std::vector<NodeId> MembershipService::sample(std::vector<NodeId> nodes, size_t count)
+{
+    count = std::min(count, nodes.size());
+    for (size_t n = 0; n < count; ++n)
+        std::swap(nodes[n], nodes[n + m_random.below(nodes.size() - n)]);
+    nodes.resize(count);
+    return nodes;
+}
+
+std::vector<NodeId> MembershipService::othersInOwnZone() const
+{
+    std::vector<NodeId> nodes = m_table.presentNodes();
+    std::erase_if(nodes, [&](NodeId it) { return m_table.find(it)->record.zone != m_table.self().zone; });
+    return nodes;
+}
+
+std::vector<NodeId> MembershipService::othersInRegion() const
+{
+    std::vector<NodeId> nodes;
+    for (auto& [node, member] : m_table.others()) {
+        // Dead members are asked as well: only with them is the size of the zone known during a long cut.
+        if (member.record.region == m_table.self().region && member.record.state != MemberState::Leaving)
+            nodes.push_back(node);
+    }
+    std::ranges::sort(nodes);
+    return nodes;
+}
+
+// --- the node's own facts
+
+void MembershipService::setTargets(std::vector<MemberTarget> targets, Instant, MembershipActions& actions)
+{
+    if (targets == m_table.self().targets)
+        return;
+    m_table.updateSelf(std::move(targets), m_table.self().state);
+    m_queue.push(m_table.self().node);
+    actions.push_back(MembersChanged {});
+}
+
+void MembershipService::setConfigurationVersion(uint64_t version, Instant, MembershipActions& actions)
+{
+    if (version <= m_table.self().configurationVersion)
+        return;
+    m_table.setConfigurationVersion(version);
+    for (NodeId it : sample(othersInOwnZone(), m_options.versionFanout))
+        tell(it, actions);
+    if (auto* coordinator = coordinatorOf(m_table.self().zone))
+        tell(coordinator->node, actions);
+}
+
+void MembershipService::setCoordinator(const CoordinatorInfo& info)
+{
+    MembershipActions ignored;
+    learnCoordinator(info, ignored);
+}
+
+const CoordinatorInfo* MembershipService::coordinatorOf(const ZoneName& zone) const
+{
+    auto it = m_coordinators.find(zone);
+    return it == m_coordinators.end() ? nullptr : &it->second;
+}
+
+std::vector<NodeId> MembershipService::presentInZone(const ZoneName& zone) const
+{
+    std::vector<NodeId> nodes;
+    if (m_table.self().zone == zone)
+        nodes.push_back(m_table.self().node);
+    for (auto& [node, member] : m_table.others()) {
+        if (isPresent(member.record.state) && member.record.zone == zone)
+            nodes.push_back(node);
+    }
+    std::ranges::sort(nodes);
+    return nodes;
+}
+
+std::vector<TargetRecord> MembershipService::targets() const
+{
+    std::vector<TargetRecord> targets;
+    auto append = [&](const MemberRecord& record, Instant firstSeen) {
+        for (auto& it : record.targets) {
+            targets.push_back({ .id = { .node = record.node, .service = it.service },
+                .zone = record.zone,
+                .region = record.region,
+                .state = it.state,
+                .slots = it.slots,
+                .firstSeen = firstSeen,
+                .isSuspect = record.state == MemberState::Suspect });
+        }
+    };
+    if (isPresent(m_table.self().state))
+        append(m_table.self(), {});
+    for (auto& [node, member] : m_table.others()) {
+        if (isPresent(member.record.state))
+            append(member.record, member.firstSeen);
+    }
+    std::ranges::sort(targets, {}, &TargetRecord::id);
+    return targets;
+}
+
+} // namespace Berylport
--- /dev/null
+++ b/Source/Membership/MembershipService.h
@@ -0,0 +1,183 @@
+// Membership of one node: turns datagrams and time into records, probes and events. Owns no socket.
+#pragma once
+
+#include "Base/GossipMessages.h"
+#include "Base/Random.h"
+#include "Base/TargetRecord.h"
+#include "Membership/ContactCheck.h"
+#include "Membership/FailureDetector.h"
+#include "Membership/MemberTable.h"
+#include "Membership/RecordQueue.h"
+
+#include <map>
+#include <span>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace Berylport {
+
+struct SendGossip {
+    Endpoint to;
+    GossipMessage message;
+};
+
+enum class MemberEventKind : uint8_t {
+    Joined,
+    Suspected,
+    // Suspected or taken for dead before, and alive after all.
+    Recovered,
+    Dead,
+    Left,
+};
+
+struct MemberEvent {
+    NodeId node;
+    MemberEventKind kind { MemberEventKind::Joined };
+};
+
+// Members or their targets have changed; read them from the service.
+struct MembersChanged { };
+
+// Others took this node for dead; it has refuted that.
+struct DeclaredDead { };
+
+struct ContactChanged {
+    bool isCutOff { false };
+};
+
+// The configuration version of a node, from the message it sent.
+struct PeerVersionSeen {
+    NodeId node;
+    Endpoint peer;
+    uint64_t version { 0 };
+};
+
+struct CoordinatorLearned {
+    CoordinatorInfo coordinator;
+};
+
+using MembershipAction = std::variant<SendGossip, MemberEvent, MembersChanged, DeclaredDead, ContactChanged,
+    PeerVersionSeen, CoordinatorLearned>;
+using MembershipActions = std::vector<MembershipAction>;
+
+struct MembershipOptions {
+    DetectorOptions detector;
+    MemberTable::Options table;
+    ContactCheck::Options contact;
+    // Of records in one datagram; with header, digest and the sender's own record it stays below 1,400 bytes.
+    size_t maximumRecordBytes { 900 };
+    Duration digestInterval { std::chrono::seconds(5) };
+    // While the digests of a new member and its peer differ.
+    Duration joinInterval { std::chrono::milliseconds(50) };
+    Duration joinLimit { std::chrono::seconds(30) };
+    // Datagrams in answer to one request for buckets.
+    size_t maximumBucketDatagrams { 4 };
+    Duration deadProbeInterval { std::chrono::seconds(5) };
+    // Members told at once of a new configuration version, besides the zone's coordinator.
+    size_t versionFanout { 3 };
+    // Members told at once that this node leaves.
+    size_t leaveFanout { 8 };
+};
+
+class MembershipService {
+public:
+    MembershipService(const MembershipOptions&, MemberRecord self, uint64_t seed, Instant now);
+
+    // Begins to ask the seeds; repeated until one has answered. Called again, it replaces the seeds.
+    void join(std::span<const Endpoint> seeds, Instant now, MembershipActions&);
+    // The table's seed rows show that this is the first node of the fleet.
+    void joinAsFirst() { m_hasJoined = true; }
+    void leave(Instant now, MembershipActions&);
+    void receive(const GossipMessage&, const Endpoint& from, Instant now, MembershipActions&);
+    void tick(Instant now, MembershipActions&);
+    void paused(Instant now);
+    Instant nextWake() const;
+
+    void setTargets(std::vector<MemberTarget>, Instant now, MembershipActions&);
+    // Tells a few members of the own zone and its coordinator at once when the version is new.
+    void setConfigurationVersion(uint64_t, Instant now, MembershipActions&);
+    void setCoordinator(const CoordinatorInfo&);
+    // A probe that only carries this node's record and version.
+    void tell(NodeId, MembershipActions&);
+
+    const MemberTable& table() const { return m_table; }
+    // Alive or suspected nodes of the zone, this node included.
+    std::vector<NodeId> presentInZone(const ZoneName&) const;
+    // Targets of all members that are alive or suspected, and of this node.
+    std::vector<TargetRecord> targets() const;
+    const CoordinatorInfo* coordinatorOf(const ZoneName&) const;
+    bool hasJoined() const { return m_hasJoined; }
+    bool isCutOff() const { return m_contact.isCutOff(); }
+
+private:
+    void noteDeadSender(NodeId);
+    void receiveContent(NodeId sender, const GossipContent&, Instant now, MembershipActions&);
+    void handle(const GossipPing&, const Endpoint& from, Instant now, MembershipActions&);
+    void handle(const GossipAck&, const Endpoint& from, Instant now, MembershipActions&);
+    void handle(const GossipPingRequest&, const Endpoint& from, Instant now, MembershipActions&);
+    void handle(const ProbeMember&, Instant now, MembershipActions&);
+    void handle(const ProbeThroughOthers&, Instant now, MembershipActions&);
+    void handle(const SuspectMember&, Instant now, MembershipActions&);
+    void handle(const DeclareDead&, Instant now, MembershipActions&);
+
+    void mergeRecord(const MemberRecord&, Instant now, MembershipActions&);
+    void refuteIfNeeded(const MemberRecord&, MembershipActions&);
+    void stateChanged(const MemberRecord&, std::optional<MemberState> before, Instant now, MembershipActions&);
+    void learnCoordinator(const CoordinatorInfo&, MembershipActions&);
+    void catchUp(Instant now, MembershipActions&);
+    void checkContact(Instant now, MembershipActions&);
+    void askSample(bool isOwnZone, MembershipActions&);
+
+    // The own record, the receiver's record when others should hear that it is suspected, then the queue's.
+    GossipContent makeContent(NodeId receiver);
+    void addCoordinator(GossipContent&);
+    void sendPing(NodeId, uint64_t sequence, bool withDigest, MembershipActions&);
+    void answerDigest(const GossipContent&, const Endpoint& to, GossipContent& answer, MembershipActions&);
+    void sendBuckets(std::span<const uint8_t> buckets, const Endpoint& to, MembershipActions&);
+    void askSeeds(Instant now, MembershipActions&);
+    void probeDeadMember(Instant now, MembershipActions&);
+    // Up to `count` of the nodes, in random order.
+    std::vector<NodeId> sample(std::vector<NodeId>, size_t count);
+    std::vector<NodeId> othersInOwnZone() const;
+    std::vector<NodeId> othersInRegion() const;
+    std::vector<uint8_t> differingBuckets(const GossipDigest&) const;
+
+    MembershipOptions m_options;
+    MemberTable m_table;
+    FailureDetector m_detector;
+    ContactCheck m_contact;
+    RecordQueue m_queue;
+    Random m_random;
+    std::vector<Endpoint> m_seeds;
+    // A message of another node has arrived, or there is no other node.
+    bool m_hasJoined { false };
+    // The own digest differed from a peer's shortly after the start.
+    bool m_isCatchingUp { false };
+    Instant m_joinStarted;
+    Instant m_nextJoin;
+    Instant m_nextDigest;
+    Instant m_nextDeadProbe;
+    Instant m_nextExpiry;
+    // Highest fencing token wins.
+    std::map<ZoneName, CoordinatorInfo> m_coordinators;
+    size_t m_nextCoordinator { 0 };
+    // The sender of the message in hand was dead in this table until the message came; it has to hear that.
+    std::optional<MemberRecord> m_senderWasDead;
+    // Highest version of the own record that others had declared dead.
+    uint64_t m_lastDeathVersion { 0 };
+    // Ping requests that wait for the probed member's answer, by the sequence of the own probe.
+    struct RelayedProbe {
+        Endpoint asker;
+        uint64_t askerSequence { 0 };
+        NodeId target;
+        Instant expires;
+    };
+    std::unordered_map<uint64_t, RelayedProbe> m_relayed;
+};
+
+// Upper estimate of a record's size in a packed message.
+size_t estimateBytes(const MemberRecord&);
+
+} // namespace Berylport
