--- /dev/null
+++ b/Source/Schema/Gossip.capnp
@@ -0,0 +1,72 @@
+# Gossip between nodes: one packed message in one UDP datagram.
+@0xcc16bb093e92f5d4;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("Berylport::Schema");
+
+struct GossipEndpoint {
+  # 4 or 16 bytes in network order.
+  address @0 :Data;
+  port @1 :UInt16;
+}
+
+enum MemberState {
+  alive @0;
+  leaving @1;
+  suspect @2;
+  dead @3;
+}
+
+enum GossipTargetState {
+  starting @0;
+  ready @1;
+  draining @2;
+  down @3;
+}
+
+struct MemberTarget {
+  service @0 :Text;
+  slots @1 :UInt16;
+  state @2 :GossipTargetState;
+  stateVersion @3 :UInt64;
+}
+
+struct MemberRecord {
+  node @0 :UInt64;
+  gossip @1 :GossipEndpoint;
+  peer @2 :GossipEndpoint;
+  zone @3 :Text;
+  region @4 :Text;
+  version @5 :UInt64;
+  state @6 :MemberState;
+  targets @7 :List(MemberTarget);
+  configurationVersion @8 :UInt64;
+}
+
+struct Coordinator {
+  zone @0 :Text;
+  fencingToken @1 :UInt64;
+  node @2 :UInt64;
+}
+
+struct GossipMessage {
+  protocolVersion @0 :UInt16;
+  sequence @1 :UInt64;
+  sender @2 :UInt64;
+  records @3 :List(MemberRecord);
+  # Absent, or exactly 64 bucket hashes.
+  digest @4 :List(UInt32);
+  # Buckets whose records the sender asks for, each below 64.
+  requestedBuckets @5 :List(UInt8);
+  # Absent when the sender knows no coordinator.
+  coordinator @6 :Coordinator;
+  union {
+    ping @7 :Void;
+    ack @8 :Void;
+    # Asks the receiver to ping this node on behalf of the sender.
+    pingRequest :group {
+      target @9 :UInt64;
+      endpoint @10 :GossipEndpoint;
+    }
+  }
+}
--- /dev/null
+++ b/Source/Schema/Peer.capnp
@@ -0,0 +1,179 @@
+# Interface between two nodes: one Cap'n Proto RPC link per peer.
+@0x988a698662e94c34;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("Berylport::Schema");
+
+struct AttemptId {
+  origin @0 :UInt64;
+  sequence @1 :UInt64;
+  attempt @2 :UInt32;
+}
+
+enum RequestKind {
+  idempotent @0;
+  atMostOnce @1;
+  patient @2;
+}
+
+enum Priority {
+  critical @0;
+  normal @1;
+  bulk @2;
+}
+
+enum RefusalReason {
+  queueFull @0;
+  tenantOverShare @1;
+  deadlineTooNear @2;
+  deadlinePassed @3;
+  draining @4;
+  noTarget @5;
+  wrongNode @6;
+  cancelled @7;
+  refusedBefore @8;
+  ledgerFull @9;
+  connectFailed @10;
+  unknownParent @11;
+  depthExceeded @12;
+  unconfirmed @13;
+  overloaded @14;
+}
+
+enum LossReason {
+  linkLost @0;
+  targetClosed @1;
+  targetTimeout @2;
+  answerTooLarge @3;
+  answerMalformed @4;
+  nodeRestarted @5;
+  nodeStopped @6;
+  answerDropped @7;
+}
+
+struct HttpHeader {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct HttpRequest {
+  method @0 :Text;
+  target @1 :Text;
+  headers @2 :List(HttpHeader);
+  body @3 :Data;
+}
+
+struct HttpResponse {
+  status @0 :UInt16;
+  reason @1 :Text;
+  headers @2 :List(HttpHeader);
+  body @3 :Data;
+}
+
+struct LoadReport {
+  slots @0 :UInt16;
+  running @1 :UInt16;
+  queued @2 :UInt16;
+  isWarmingUp @3 :Bool;
+  serviceTimeMicroseconds @4 :UInt32;
+}
+
+struct CallRequest {
+  id @0 :AttemptId;
+  receiver @1 :UInt64;
+  service @2 :Text;
+  tenant @3 :Text;
+  kind @4 :RequestKind;
+  priority @5 :Priority;
+  # Microseconds on the sender's steady clock.
+  deadline @6 :Int64;
+  retryTokens @7 :UInt32;
+  depth @8 :UInt32;
+  http @9 :HttpRequest;
+}
+
+struct CallQuery {
+  id @0 :AttemptId;
+  receiver @1 :UInt64;
+  # Microseconds on the sender's steady clock.
+  deadline @2 :Int64;
+}
+
+struct CallAnswered {
+  http @0 :HttpResponse;
+  load @1 :LoadReport;
+  retryTokensUsed @2 :UInt32;
+}
+
+struct CallRefused {
+  reason @0 :RefusalReason;
+  retryAfterMicroseconds @1 :UInt64;
+  load @2 :LoadReport;
+}
+
+struct CallLost {
+  reason @0 :LossReason;
+  load @1 :LoadReport;
+}
+
+# Answers call and query. Only a query may be answered with pending.
+struct CallReply {
+  id @0 :AttemptId;
+  union {
+    answered @1 :CallAnswered;
+    refused @2 :CallRefused;
+    lost @3 :CallLost;
+    pending @4 :Void;
+  }
+}
+
+struct Hello {
+  protocolVersion @0 :UInt32;
+  node @1 :UInt64;
+  # Zero when the opener does not know which node listens on the address.
+  expected @2 :UInt64;
+}
+
+enum HelloStatus {
+  accepted @0;
+  wrongNode @1;
+  wrongVersion @2;
+}
+
+struct HelloReply {
+  status @0 :HelloStatus;
+  protocolVersion @1 :UInt32;
+  node @2 :UInt64;
+  # The steady clock of the replying node, in microseconds.
+  clock @3 :Int64;
+}
+
+struct ServiceDefinition {
+  name @0 :Text;
+  kind @1 :RequestKind;
+  priority @2 :Priority;
+  callerWaitMicroseconds @3 :UInt64;
+  retryTokens @4 :UInt32;
+  isHedged @5 :Bool;
+  deduplicates @6 :Bool;
+  queueLimit @7 :UInt32;
+  version @8 :UInt64;
+}
+
+struct Configuration {
+  version @0 :UInt64;
+  services @1 :List(ServiceDefinition);
+}
+
+interface Peer {
+  # Must be the first call on a link.
+  hello @0 (hello :Hello) -> (reply :HelloReply);
+  # clock: the sender's steady clock. echoedClock: the clock in the last answer that the sender got on this link, and
+  # echoReceivedAt the sender's clock when it got that answer; both zero when there is none.
+  ping @1 (clock :Int64, echoedClock :Int64, echoReceivedAt :Int64) -> (clock :Int64);
+  call @2 (request :CallRequest) -> (reply :CallReply);
+  cancel @3 (id :AttemptId) -> ();
+  query @4 (query :CallQuery) -> (reply :CallReply);
+  fetchConfiguration @5 () -> (configuration :Configuration);
+  reportVersion @6 (node :UInt64, version :UInt64) -> ();
+}
