--- a/Source/Base/Base.h
+++ b/Source/Base/Base.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include "Base/CallMessages.h"
+#include "Base/ConfigurationSnapshot.h"
+#include "Base/GossipMessages.h"
 #include "Base/HttpMessage.h"
 #include "Base/Identifiers.h"
 #include "Base/Overloaded.h"
--- a/Source/Loop/EventLoop.cpp
+++ b/Source/Loop/EventLoop.cpp
@@ -40,53 +40,56 @@
 void EventDeleter::operator()(event* ev) const { event_free(ev); }
 
 struct EventLoop::Private final : kj::EventPort {
-    explicit Private(EventLoop& owner)
-        : m_owner(owner)
-        , m_base(createBase())
-        , m_wakeFd(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
-        , m_kjLoop(*this)
-        , m_waitScope(m_kjLoop)
+    explicit Private(EventLoop& eventLoop)
+        : owner(eventLoop)
+        , base(createBase())
+        , wakeFd(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+        , kjLoop(*this)
+        , waitScope(kjLoop)
     {
-        if (m_wakeFd < 0)
+        if (wakeFd < 0)
             throw std::runtime_error("eventfd failed");
-        m_wakeEvent.reset(event_new(m_base.get(), m_wakeFd, EV_READ | EV_PERSIST, &Private::onWake, this));
-        m_kjEvent.reset(event_new(m_base.get(), -1, 0, &Private::onKjRunnable, this));
-        m_postEvent.reset(event_new(m_base.get(), -1, 0, &Private::onPosted, this));
-        event_add(m_wakeEvent.get(), nullptr);
+        wakeEvent.reset(event_new(base.get(), wakeFd, EV_READ | EV_PERSIST, &Private::onWake, this));
+        kjEvent.reset(event_new(base.get(), -1, 0, &Private::onKjRunnable, this));
+        postEvent.reset(event_new(base.get(), -1, 0, &Private::onPosted, this));
+        event_add(wakeEvent.get(), nullptr);
     }
 
     ~Private()
     {
-        m_wakeEvent.reset();
-        close(m_wakeFd);
+        // Posted functions may own promises and timers, so they go first. Their destructors may post again.
+        while (!posted.empty())
+            std::exchange(posted, {}).clear();
+        wakeEvent.reset();
+        close(wakeFd);
     }
 
     bool wait() override
     {
         turnForKj(EVLOOP_ONCE);
-        return m_isWoken.exchange(false);
+        return isWoken.exchange(false);
     }
 
     bool poll() override
     {
         turnForKj(EVLOOP_NONBLOCK);
-        return m_isWoken.exchange(false);
+        return isWoken.exchange(false);
     }
 
     void setRunnable(bool isRunnable) override
     {
         if (isRunnable)
-            activateLater(m_kjEvent.get());
-        else if (m_kjEvent)
-            event_del(m_kjEvent.get());
+            activateLater(kjEvent.get());
+        else if (kjEvent)
+            event_del(kjEvent.get());
     }
 
     void wake() const override
     {
-        m_isWoken = true;
+        isWoken = true;
         uint64_t n = 1;
         // Fails only when the counter is full, and then the loop is awake already.
-        [[maybe_unused]] ssize_t written = write(m_wakeFd, &n, sizeof n);
+        [[maybe_unused]] ssize_t written = write(wakeFd, &n, sizeof n);
     }
 
     // A zero timeout is due in the next turn, unlike event_active(), which can extend the current turn without end.
@@ -100,77 +103,77 @@
     void turn(int flags)
     {
         // KJ reports only changes, so a queue that Promise::wait() left filled has to be noticed here.
-        if (m_kjLoop.isRunnable())
-            activateLater(m_kjEvent.get());
-        event_base_loop(m_base.get(), flags);
+        if (kjLoop.isRunnable())
+            activateLater(kjEvent.get());
+        event_base_loop(base.get(), flags);
         rethrowFailure();
-        if (m_isWoken)
-            m_waitScope.poll();
+        if (isWoken)
+            waitScope.poll();
     }
 
     void turnForKj(int flags)
     {
-        m_isInsideKj = true;
-        event_base_loop(m_base.get(), flags);
-        m_isInsideKj = false;
+        isInsideKj = true;
+        event_base_loop(base.get(), flags);
+        isInsideKj = false;
         rethrowFailure();
     }
 
     void rethrowFailure()
     {
-        if (m_failure)
-            std::rethrow_exception(std::exchange(m_failure, nullptr));
+        if (failure)
+            std::rethrow_exception(std::exchange(failure, nullptr));
     }
 
     static void onWake(evutil_socket_t fd, short, void* self)
     {
         uint64_t n;
         [[maybe_unused]] ssize_t count = read(fd, &n, sizeof n);
-        event_base_loopbreak(static_cast<Private*>(self)->m_base.get());
+        event_base_loopbreak(static_cast<Private*>(self)->base.get());
     }
 
     static void onKjRunnable(evutil_socket_t, short, void* argument)
     {
         auto& self = *static_cast<Private*>(argument);
         // Promise::wait() runs the queue itself as soon as the port returns.
-        if (self.m_isInsideKj)
+        if (self.isInsideKj)
             return;
-        self.m_owner.guard([&self] { self.m_kjLoop.run(maximumKjTurns); });
-        if (self.m_kjLoop.isRunnable())
-            activateLater(self.m_kjEvent.get());
+        self.owner.guard([&self] { self.kjLoop.run(maximumKjTurns); });
+        if (self.kjLoop.isRunnable())
+            activateLater(self.kjEvent.get());
     }
 
     static void onPosted(evutil_socket_t, short, void* argument)
     {
         auto& self = *static_cast<Private*>(argument);
         // Functions posted from now on belong to a later turn.
-        for (size_t n = self.m_posted.size(); n > 0; --n) {
-            auto function = std::move(self.m_posted.front());
-            self.m_posted.pop_front();
-            self.m_owner.guard(function);
+        for (size_t n = self.posted.size(); n > 0; --n) {
+            auto function = std::move(self.posted.front());
+            self.posted.pop_front();
+            self.owner.guard(function);
         }
-        if (!self.m_posted.empty())
-            activateLater(self.m_postEvent.get());
+        if (!self.posted.empty())
+            activateLater(self.postEvent.get());
     }
 
     struct BaseDeleter {
         void operator()(event_base* base) const { event_base_free(base); }
     };
 
-    EventLoop& m_owner;
-    std::unique_ptr<event_base, BaseDeleter> m_base;
-    int m_wakeFd;
-    mutable std::atomic<bool> m_isWoken { false };
-    EventPointer m_wakeEvent;
-    EventPointer m_kjEvent;
-    EventPointer m_postEvent;
-    std::deque<std::function<void()>> m_posted;
-    std::exception_ptr m_failure;
-    bool m_isInsideKj { false };
-    bool m_isStopped { false };
+    EventLoop& owner;
+    std::unique_ptr<event_base, BaseDeleter> base;
+    int wakeFd;
+    mutable std::atomic<bool> isWoken { false };
+    EventPointer wakeEvent;
+    EventPointer kjEvent;
+    EventPointer postEvent;
+    std::deque<std::function<void()>> posted;
+    std::exception_ptr failure;
+    bool isInsideKj { false };
+    bool isStopped { false };
     // Destroyed before the events, which its last promises may still change.
-    kj::EventLoop m_kjLoop;
-    kj::WaitScope m_waitScope;
+    kj::EventLoop kjLoop;
+    kj::WaitScope waitScope;
 };
 
 EventLoop::EventLoop()
@@ -182,8 +185,8 @@
 
 void EventLoop::run()
 {
-    m_private->m_isStopped = false;
-    while (!m_private->m_isStopped)
+    m_private->isStopped = false;
+    while (!m_private->isStopped)
         m_private->turn(EVLOOP_ONCE);
 }
 
@@ -208,27 +211,27 @@
 
 void EventLoop::stop()
 {
-    m_private->m_isStopped = true;
-    event_base_loopbreak(m_private->m_base.get());
+    m_private->isStopped = true;
+    event_base_loopbreak(m_private->base.get());
 }
 
 void EventLoop::post(std::function<void()> function)
 {
-    m_private->m_posted.push_back(std::move(function));
-    Private::activateLater(m_private->m_postEvent.get());
+    m_private->posted.push_back(std::move(function));
+    Private::activateLater(m_private->postEvent.get());
 }
 
 void EventLoop::wake() const { m_private->wake(); }
 
 void EventLoop::fail(std::exception_ptr failure) noexcept
 {
-    if (!m_private->m_failure)
-        m_private->m_failure = std::move(failure);
-    event_base_loopbreak(m_private->m_base.get());
+    if (!m_private->failure)
+        m_private->failure = std::move(failure);
+    event_base_loopbreak(m_private->base.get());
 }
 
-event_base* EventLoop::base() const { return m_private->m_base.get(); }
+event_base* EventLoop::base() const { return m_private->base.get(); }
 
-kj::WaitScope& EventLoop::waitScope() { return m_private->m_waitScope; }
+kj::WaitScope& EventLoop::waitScope() { return m_private->waitScope; }
 
 } // namespace Berylport
--- /dev/null
+++ b/Source/Peer/Peer.h
@@ -0,0 +1,7 @@
+// Public header of Peer: links between nodes and gossip datagrams.
+#pragma once
+
+#include "Peer/ClockOffset.h"
+#include "Peer/PeerError.h"
+#include "Peer/PeerLink.h"
+#include "Peer/PeerServer.h"
--- /dev/null
+++ b/Source/Peer/PeerCodec.cpp
@@ -0,0 +1,410 @@
+// Conversions for Peer.capnp.
+#include "Peer/PeerCodec.h"
+
+#include "Peer/CodecSupport.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace Berylport {
+
+using namespace Codec;
+
+namespace {
+
+// Limits of the caller-facing side (design, section 4.1), with room for headers that Berylport adds.
+constexpr size_t maximumRequestBody = 1024 * 1024;
+constexpr size_t maximumResponseBody = 4 * 1024 * 1024;
+constexpr size_t maximumHeaderBytes = 32 * 1024;
+constexpr size_t maximumHeaders = 512;
+constexpr size_t maximumMethodLength = 32;
+constexpr size_t maximumTargetLength = 16 * 1024;
+constexpr size_t maximumReasonLength = 1024;
+constexpr uint32_t maximumDepth = 32;
+constexpr uint32_t maximumRetryTokens = 8;
+constexpr size_t maximumServices = 4096;
+constexpr Duration maximumRetryAfter = std::chrono::hours(1);
+// Differences of two clocks below this cannot overflow.
+constexpr int64_t maximumClock = int64_t(1) << 61;
+// Structs and pointers of one message and of one list element.
+constexpr size_t messageOverhead = 1024;
+constexpr size_t elementOverhead = 64;
+
+static_assert(static_cast<int>(Schema::RequestKind::PATIENT) == static_cast<int>(RequestKind::Patient));
+static_assert(static_cast<int>(Schema::Priority::BULK) == static_cast<int>(Priority::Bulk));
+static_assert(static_cast<int>(Schema::RefusalReason::OVERLOADED) == static_cast<int>(RefusalReason::Overloaded));
+static_assert(static_cast<int>(Schema::RefusalReason::DRAINING) == static_cast<int>(RefusalReason::Draining));
+static_assert(static_cast<int>(Schema::LossReason::ANSWER_DROPPED) == static_cast<int>(LossReason::AnswerDropped));
+
+bool isCleanField(const std::string& text)
+{
+    return std::none_of(text.begin(), text.end(), [](char c) { return c == '\r' || c == '\n' || c == '\0'; });
+}
+
+template <typename Headers> void writeHeaders(Headers builders, const std::vector<HttpHeader>& headers)
+{
+    unsigned i = 0;
+    for (const auto& it : headers) {
+        auto builder = builders[i++];
+        builder.setName(textOf(it.name));
+        builder.setValue(textOf(it.value));
+    }
+}
+
+// A peer must not be able to inject a header line.
+std::vector<HttpHeader> readHeaders(capnp::List<Schema::HttpHeader>::Reader readers)
+{
+    require(readers.size() <= maximumHeaders, "too many headers");
+    std::vector<HttpHeader> headers;
+    size_t left = maximumHeaderBytes;
+    for (auto it : readers) {
+        HttpHeader header;
+        header.name = readText(it.getName(), left);
+        left -= header.name.size();
+        header.value = readText(it.getValue(), left);
+        left -= header.value.size();
+        require(!header.name.empty() && isCleanField(header.name) && isCleanField(header.value), "invalid header");
+        headers.push_back(std::move(header));
+    }
+    return headers;
+}
+
+size_t estimateHeaders(const std::vector<HttpHeader>& headers)
+{
+    size_t size = 0;
+    for (const auto& it : headers)
+        size += it.name.size() + it.value.size() + elementOverhead;
+    return size;
+}
+
+size_t estimateAnswer(const CallAnswered& reply)
+{
+    const HttpResponse& http = reply.http;
+    return messageOverhead + http.reason.size() + estimateHeaders(http.headers) + http.body.size();
+}
+
+AttemptId attemptId(Schema::AttemptId::Reader reader)
+{
+    AttemptId id;
+    id.call.origin = NodeId { reader.getOrigin() };
+    id.call.sequence = reader.getSequence();
+    id.attempt = reader.getAttempt();
+    require(!id.call.origin.isNull(), "attempt without origin");
+    return id;
+}
+
+Instant clockTime(int64_t n)
+{
+    require(n >= 0 && n <= maximumClock, "clock out of range");
+    return instantFromMicroseconds(n);
+}
+
+void writeLoad(Schema::LoadReport::Builder builder, const LoadReport& load)
+{
+    constexpr int64_t maximum = std::numeric_limits<uint32_t>::max();
+    builder.setSlots(load.slots);
+    builder.setRunning(load.running);
+    builder.setQueued(load.queued);
+    builder.setIsWarmingUp(load.isWarmingUp);
+    builder.setServiceTimeMicroseconds(
+        static_cast<uint32_t>(std::clamp<int64_t>(load.serviceTime.count(), 0, maximum)));
+}
+
+LoadReport readLoad(Schema::LoadReport::Reader reader)
+{
+    return {
+        .slots = reader.getSlots(),
+        .running = reader.getRunning(),
+        .queued = reader.getQueued(),
+        .serviceTime = Duration(reader.getServiceTimeMicroseconds()),
+        .isWarmingUp = reader.getIsWarmingUp(),
+    };
+}
+
+void writeReply(Schema::CallReply::Builder builder, const CallAnswered& reply)
+{
+    write(builder.initId(), reply.id);
+    auto answered = builder.initAnswered();
+    auto http = answered.initHttp();
+    http.setStatus(reply.http.status);
+    http.setReason(textOf(reply.http.reason));
+    writeHeaders(http.initHeaders(static_cast<unsigned>(reply.http.headers.size())), reply.http.headers);
+    http.setBody(bytesOf(reply.http.body));
+    writeLoad(answered.initLoad(), reply.load);
+    answered.setRetryTokensUsed(reply.retryTokensUsed);
+}
+
+void writeReply(Schema::CallReply::Builder builder, const CallRefused& reply)
+{
+    write(builder.initId(), reply.id);
+    auto refused = builder.initRefused();
+    refused.setReason(static_cast<Schema::RefusalReason>(reply.reason));
+    int64_t retryAfter = std::clamp(reply.retryAfter, Duration::zero(), maximumRetryAfter).count();
+    refused.setRetryAfterMicroseconds(static_cast<uint64_t>(retryAfter));
+    writeLoad(refused.initLoad(), reply.load);
+}
+
+void writeReply(Schema::CallReply::Builder builder, const CallLost& reply)
+{
+    write(builder.initId(), reply.id);
+    auto lost = builder.initLost();
+    lost.setReason(static_cast<Schema::LossReason>(reply.reason));
+    writeLoad(lost.initLoad(), reply.load);
+}
+
+void writeReply(Schema::CallReply::Builder builder, const CallPending& reply)
+{
+    write(builder.initId(), reply.id);
+    builder.setPending();
+}
+
+CallAnswered readAnswered(const AttemptId& id, Schema::CallAnswered::Reader reader)
+{
+    CallAnswered reply;
+    reply.id = id;
+    auto http = reader.getHttp();
+    reply.http.status = http.getStatus();
+    require(reply.http.status >= 100 && reply.http.status <= 999, "invalid status");
+    reply.http.reason = readText(http.getReason(), maximumReasonLength);
+    require(isCleanField(reply.http.reason), "invalid reason");
+    reply.http.headers = readHeaders(http.getHeaders());
+    reply.http.body = readBytes(http.getBody(), maximumResponseBody);
+    reply.load = readLoad(reader.getLoad());
+    reply.retryTokensUsed = reader.getRetryTokensUsed();
+    return reply;
+}
+
+CallRefused readRefused(const AttemptId& id, Schema::CallRefused::Reader reader)
+{
+    CallRefused reply;
+    reply.id = id;
+    reply.reason = readEnum(reader.getReason(), RefusalReason::Overloaded);
+    uint64_t retryAfter = reader.getRetryAfterMicroseconds();
+    require(retryAfter <= static_cast<uint64_t>(maximumRetryAfter.count()), "retry-after out of range");
+    reply.retryAfter = Duration(static_cast<int64_t>(retryAfter));
+    reply.load = readLoad(reader.getLoad());
+    return reply;
+}
+
+CallLost readLost(const AttemptId& id, Schema::CallLost::Reader reader)
+{
+    CallLost reply;
+    reply.id = id;
+    reply.reason = readEnum(reader.getReason(), LossReason::AnswerDropped);
+    reply.load = readLoad(reader.getLoad());
+    return reply;
+}
+
+QueryReply queryReply(Schema::CallReply::Reader reader)
+{
+    AttemptId id = attemptId(reader.getId());
+    switch (reader.which()) {
+    case Schema::CallReply::ANSWERED:
+        return readAnswered(id, reader.getAnswered());
+    case Schema::CallReply::REFUSED:
+        return readRefused(id, reader.getRefused());
+    case Schema::CallReply::LOST:
+        return readLost(id, reader.getLost());
+    case Schema::CallReply::PENDING:
+        return CallPending { .id = id };
+    }
+    throw Malformed("unknown kind of reply");
+}
+
+HttpRequest readHttpRequest(Schema::HttpRequest::Reader reader)
+{
+    HttpRequest http;
+    http.method = readText(reader.getMethod(), maximumMethodLength);
+    http.target = readText(reader.getTarget(), maximumTargetLength);
+    require(!http.method.empty() && isCleanField(http.method), "invalid method");
+    require(!http.target.empty() && isCleanField(http.target), "invalid target");
+    http.headers = readHeaders(reader.getHeaders());
+    http.body = readBytes(reader.getBody(), maximumRequestBody);
+    return http;
+}
+
+TenantName readTenant(capnp::Text::Reader text)
+{
+    // Calls without a tenant are legal.
+    return text.size() ? readName<struct TenantNameTag>(text) : TenantName();
+}
+
+void writeDefinition(Schema::ServiceDefinition::Builder builder, const ServiceDefinition& definition)
+{
+    builder.setName(textOf(definition.name.text));
+    builder.setKind(static_cast<Schema::RequestKind>(definition.kind));
+    builder.setPriority(static_cast<Schema::Priority>(definition.priority));
+    builder.setCallerWaitMicroseconds(static_cast<uint64_t>(definition.callerWait.count()));
+    builder.setRetryTokens(definition.retryTokens);
+    builder.setIsHedged(definition.isHedged);
+    builder.setDeduplicates(definition.deduplicates);
+    builder.setQueueLimit(definition.queueLimit);
+    builder.setVersion(definition.version);
+}
+
+ServiceDefinition readDefinition(Schema::ServiceDefinition::Reader reader)
+{
+    ServiceDefinition definition;
+    definition.name = readName<struct ServiceNameTag>(reader.getName());
+    definition.kind = readEnum(reader.getKind(), RequestKind::Patient);
+    definition.priority = readEnum(reader.getPriority(), Priority::Bulk);
+    uint64_t wait = reader.getCallerWaitMicroseconds();
+    require(wait <= static_cast<uint64_t>(maximumClock), "caller wait out of range");
+    definition.callerWait = Duration(static_cast<int64_t>(wait));
+    definition.retryTokens = reader.getRetryTokens();
+    definition.isHedged = reader.getIsHedged();
+    definition.deduplicates = reader.getDeduplicates();
+    definition.queueLimit = reader.getQueueLimit();
+    definition.version = reader.getVersion();
+    require(!validate(definition), "invalid definition");
+    return definition;
+}
+
+} // namespace
+
+void write(Schema::AttemptId::Builder builder, const AttemptId& id)
+{
+    builder.setOrigin(id.call.origin.value);
+    builder.setSequence(id.call.sequence);
+    builder.setAttempt(id.attempt);
+}
+
+void write(Schema::CallRequest::Builder builder, const CallRequest& request)
+{
+    write(builder.initId(), request.id);
+    builder.setReceiver(request.receiver.value);
+    builder.setService(textOf(request.service.text));
+    builder.setTenant(textOf(request.tenant.text));
+    builder.setKind(static_cast<Schema::RequestKind>(request.kind));
+    builder.setPriority(static_cast<Schema::Priority>(request.priority));
+    builder.setDeadline(toMicroseconds(request.deadline));
+    builder.setRetryTokens(request.retryTokens);
+    builder.setDepth(request.depth);
+    auto http = builder.initHttp();
+    http.setMethod(textOf(request.http.method));
+    http.setTarget(textOf(request.http.target));
+    writeHeaders(http.initHeaders(static_cast<unsigned>(request.http.headers.size())), request.http.headers);
+    http.setBody(bytesOf(request.http.body));
+}
+
+void write(Schema::CallQuery::Builder builder, const CallQuery& query)
+{
+    write(builder.initId(), query.id);
+    builder.setReceiver(query.receiver.value);
+    builder.setDeadline(toMicroseconds(query.deadline));
+}
+
+void write(Schema::CallReply::Builder builder, const CallReply& reply)
+{
+    std::visit([&](const auto& it) { writeReply(builder, it); }, reply);
+}
+
+void write(Schema::CallReply::Builder builder, const QueryReply& reply)
+{
+    std::visit([&](const auto& it) { writeReply(builder, it); }, reply);
+}
+
+void write(Schema::Configuration::Builder builder, const ConfigurationSnapshot& snapshot)
+{
+    builder.setVersion(snapshot.version);
+    auto services = builder.initServices(static_cast<unsigned>(snapshot.services.size()));
+    unsigned i = 0;
+    for (const auto& it : snapshot.services)
+        writeDefinition(services[i++], it);
+}
+
+Result<AttemptId, PeerError> readAttemptId(Schema::AttemptId::Reader reader)
+{
+    return decode<AttemptId>([&] { return attemptId(reader); });
+}
+
+Result<CallRequest, PeerError> readCallRequest(Schema::CallRequest::Reader reader)
+{
+    return decode<CallRequest>([&] {
+        CallRequest request;
+        request.id = attemptId(reader.getId());
+        request.receiver = NodeId { reader.getReceiver() };
+        request.service = readName<struct ServiceNameTag>(reader.getService());
+        request.tenant = readTenant(reader.getTenant());
+        request.kind = readEnum(reader.getKind(), RequestKind::Patient);
+        request.priority = readEnum(reader.getPriority(), Priority::Bulk);
+        request.deadline = clockTime(reader.getDeadline());
+        request.retryTokens = reader.getRetryTokens();
+        request.depth = reader.getDepth();
+        require(request.retryTokens <= maximumRetryTokens, "too many retry tokens");
+        require(request.depth <= maximumDepth, "call too deep");
+        request.http = readHttpRequest(reader.getHttp());
+        return request;
+    });
+}
+
+Result<CallQuery, PeerError> readCallQuery(Schema::CallQuery::Reader reader)
+{
+    return decode<CallQuery>([&] {
+        return CallQuery {
+            .id = attemptId(reader.getId()),
+            .receiver = NodeId { reader.getReceiver() },
+            .deadline = clockTime(reader.getDeadline()),
+        };
+    });
+}
+
+Result<CallReply, PeerError> readCallReply(Schema::CallReply::Reader reader)
+{
+    return decode<CallReply>([&] {
+        auto toCallReply = Overloaded {
+            [](CallPending&&) -> CallReply { throw Malformed("a call cannot be answered with pending"); },
+            [](auto&& it) -> CallReply { return std::move(it); },
+        };
+        return std::visit(toCallReply, queryReply(reader));
+    });
+}
+
+Result<QueryReply, PeerError> readQueryReply(Schema::CallReply::Reader reader)
+{
+    return decode<QueryReply>([&] { return queryReply(reader); });
+}
+
+Result<ConfigurationSnapshot, PeerError> readConfiguration(Schema::Configuration::Reader reader)
+{
+    return decode<ConfigurationSnapshot>([&] {
+        ConfigurationSnapshot snapshot;
+        snapshot.version = reader.getVersion();
+        auto services = reader.getServices();
+        require(services.size() <= maximumServices, "too many services");
+        for (auto it : services)
+            snapshot.services.push_back(readDefinition(it));
+        return snapshot;
+    });
+}
+
+Result<Instant, PeerError> readClock(int64_t microseconds)
+{
+    return decode<Instant>([&] { return clockTime(microseconds); });
+}
+
+size_t estimateSize(const CallRequest& request)
+{
+    return messageOverhead + request.service.text.size() + request.tenant.text.size() + request.http.method.size()
+        + request.http.target.size() + estimateHeaders(request.http.headers) + request.http.body.size();
+}
+
+size_t estimateSize(const QueryReply& reply)
+{
+    const auto* answered = std::get_if<CallAnswered>(&reply);
+    return answered ? estimateAnswer(*answered) : messageOverhead;
+}
+
+size_t estimateSize(const CallReply& reply)
+{
+    const auto* answered = std::get_if<CallAnswered>(&reply);
+    return answered ? estimateAnswer(*answered) : messageOverhead;
+}
+
+size_t estimateSize(const ConfigurationSnapshot& snapshot)
+{
+    constexpr size_t definitionSize = 160;
+    return messageOverhead + snapshot.services.size() * definitionSize;
+}
+
+} // namespace Berylport
--- /dev/null
+++ b/Source/Peer/PeerCodec.h
@@ -0,0 +1,33 @@
+// Conversions between the shared types and Peer.capnp. Everything is checked on read. Heavy to compile.
+#pragma once
+
+#include "Base/Base.h"
+#include "Peer/PeerError.h"
+
+#include <Peer.capnp.h>
+
+namespace Berylport {
+
+void write(Schema::AttemptId::Builder, const AttemptId&);
+void write(Schema::CallRequest::Builder, const CallRequest&);
+void write(Schema::CallQuery::Builder, const CallQuery&);
+void write(Schema::CallReply::Builder, const CallReply&);
+void write(Schema::CallReply::Builder, const QueryReply&);
+void write(Schema::Configuration::Builder, const ConfigurationSnapshot&);
+
+Result<AttemptId, PeerError> readAttemptId(Schema::AttemptId::Reader);
+Result<CallRequest, PeerError> readCallRequest(Schema::CallRequest::Reader);
+Result<CallQuery, PeerError> readCallQuery(Schema::CallQuery::Reader);
+Result<CallReply, PeerError> readCallReply(Schema::CallReply::Reader);
+Result<QueryReply, PeerError> readQueryReply(Schema::CallReply::Reader);
+Result<ConfigurationSnapshot, PeerError> readConfiguration(Schema::Configuration::Reader);
+// Rejects clocks whose differences could overflow.
+Result<Instant, PeerError> readClock(int64_t microseconds);
+
+// Upper estimates of the encoded size, for checks before sending.
+size_t estimateSize(const CallRequest&);
+size_t estimateSize(const QueryReply&);
+size_t estimateSize(const CallReply&);
+size_t estimateSize(const ConfigurationSnapshot&);
+
+} // namespace Berylport
--- /dev/null
+++ b/Source/Peer/PeerConnection.h
@@ -0,0 +1,61 @@
+// One Cap'n Proto RPC connection over one socket; used by both ends of a link. Heavy to compile.
+#pragma once
+
+#include "Base/Identifiers.h"
+#include "Loop/SocketStream.h"
+
+#include <Peer.capnp.h>
+#include <capnp/rpc-twoparty.h>
+#include <functional>
+
+namespace Berylport {
+
+constexpr uint32_t peerProtocolVersion = 1;
+
+// Tells when the first byte of a call is about to be handed to the socket. Until then a call certainly has not left.
+class CallTracker final : public capnp::MessageStream {
+public:
+    using CallWritten = std::function<void(const AttemptId&)>;
+
+    CallTracker(SocketStream&, CallWritten);
+
+    kj::Promise<kj::Maybe<capnp::MessageReaderAndFds>> tryReadMessage(
+        kj::ArrayPtr<kj::AutoCloseFd> fdSpace, capnp::ReaderOptions, kj::ArrayPtr<capnp::word> scratchSpace) override;
+    kj::Promise<void> writeMessage(
+        kj::ArrayPtr<const int> fds, kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>> segments) override;
+    kj::Promise<void> writeMessages(
+        kj::ArrayPtr<kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>>> messages) override;
+    kj::Maybe<int> getSendBufferSize() override;
+    kj::Promise<void> end() override;
+
+private:
+    void track(kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>> segments);
+
+    SocketStream& m_socket;
+    capnp::AsyncIoMessageStream m_stream;
+    CallWritten m_callWritten;
+};
+
+class PeerConnection {
+public:
+    // Takes the descriptor over.
+    PeerConnection(EventLoop&, int fd, capnp::rpc::twoparty::Side, Schema::Peer::Client exported,
+        size_t maximumMessageBytes, CallTracker::CallWritten);
+    ~PeerConnection();
+    PeerConnection(const PeerConnection&) = delete;
+    PeerConnection& operator=(const PeerConnection&) = delete;
+
+    // The interface that the other end exports.
+    Schema::Peer::Client remote();
+    kj::Promise<void> onDisconnect();
+    SocketStream& socket() { return m_socket; }
+
+private:
+    SocketStream m_socket;
+    CallTracker m_tracker;
+    capnp::rpc::twoparty::Side m_side;
+    capnp::TwoPartyVatNetwork m_network;
+    capnp::RpcSystem<capnp::rpc::twoparty::VatId> m_rpc;
+};
+
+} // namespace Berylport
--- /dev/null
+++ b/Source/Peer/PeerLink.cpp
@@ -0,0 +1,519 @@
+// The sending end of a link.
+#include "Peer/PeerLink.h"
+
+#include "Loop/FdWatcher.h"
+#include "Loop/Timer.h"
+#include "Peer/PeerCodec.h"
+#include "Peer/PeerConnection.h"
+#include "Peer/SilenceWatch.h"
+#include "Peer/Sockets.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <optional>
+#include <unistd.h>
+#include <unordered_map>
+#include <utility>
+
+namespace Berylport {
+
+namespace {
+
+template <typename Reply> const AttemptId& attemptOf(const Reply& reply)
+{
+    return std::visit([](const auto& it) -> const AttemptId& { return it.id; }, reply);
+}
+
+// What the opener exports: the receiving end only pings it.
+class PingResponder final : public Schema::Peer::Server {
+protected:
+    kj::Promise<void> ping(PingContext context) override
+    {
+        context.getResults().setClock(toMicroseconds(steadyNow()));
+        return kj::READY_NOW;
+    }
+};
+
+} // namespace
+
+class PeerLink::Private final : public std::enable_shared_from_this<Private>, private kj::TaskSet::ErrorHandler {
+public:
+    Private(EventLoop& loop, NodeId self, PeerAddress address, PeerLinkOptions options, PeerLinkEvents events)
+        : m_loop(loop)
+        , m_self(self)
+        , m_address(std::move(address))
+        , m_options(options)
+        , m_events(std::move(events))
+        , m_silence(options.pingInterval, steadyNow())
+        , m_connectTimer(loop, [this] { closeNow(PeerError::ConnectTimeout); })
+        , m_pingTimer(loop, [this] { tick(); })
+    {
+    }
+
+    ~Private()
+    {
+        if (m_connectingFd >= 0)
+            ::close(m_connectingFd);
+    }
+
+    void connect();
+    void send(CallRequest&&, CallCompletion&&);
+    void cancel(const CallCancel&);
+    void query(CallQuery&&, QueryCompletion&&);
+    void fetchConfiguration(ConfigurationCompletion&&);
+    void reportVersion(NodeId, uint64_t version, ReportCompletion&&);
+    void closeLater(PeerError);
+    // Ends everything without events.
+    void abandon();
+
+    bool isOpen() const { return m_state == State::Open; }
+    bool isClosed() const { return m_state == State::Closed; }
+    NodeId peer() const { return m_peer; }
+    size_t outstanding() const { return m_calls.size() + m_requests.size(); }
+    uint64_t bytesRead() const { return m_connection ? m_connection->socket().bytesRead() : 0; }
+    uint64_t bytesWritten() const { return m_connection ? m_connection->socket().bytesWritten() : 0; }
+
+private:
+    enum class State : uint8_t {
+        Connecting,
+        Open,
+        Closed,
+    };
+    struct Call {
+        CallCompletion completion;
+        // A byte of it may have left.
+        bool isWritten { false };
+    };
+    // A request other than a call. Either starts when the link is open, or fails.
+    struct Request {
+        std::function<void(PeerError)> fail;
+        std::function<void()> start;
+    };
+
+    void taskFailed(kj::Exception&&) override { closeLater(PeerError::LinkLost); }
+    void onWritable();
+    void sayHello();
+    void onHelloReply(Schema::HelloReply::Reader);
+    void open();
+    void tick();
+    void sendPing();
+    void closeNow(PeerError);
+    void transmit(const CallRequest&);
+    void finishCall(const AttemptId&, CallResult&&);
+    void onCallFailed(const AttemptId&, const kj::Exception&);
+    void addRequest(Request&&);
+    template <typename Response, typename Completion, typename Read>
+    void await(uint64_t key, kj::Promise<Response>&&, Completion, Read);
+
+    EventLoop& m_loop;
+    NodeId m_self;
+    PeerAddress m_address;
+    PeerLinkOptions m_options;
+    PeerLinkEvents m_events;
+    State m_state { State::Connecting };
+    PeerError m_closeReason { PeerError::Closed };
+    NodeId m_peer;
+    // Open only between the start of the connect and its end; then the connection owns the socket.
+    int m_connectingFd { -1 };
+    std::unique_ptr<FdWatcher> m_connectWatcher;
+
+    SilenceWatch m_silence;
+    uint64_t m_bytesAtLastTick { 0 };
+    bool m_isPingOutstanding { false };
+    // The peer's clock in its last answer, and when that answer arrived.
+    Instant m_echoedClock;
+    Instant m_echoReceivedAt;
+
+    std::unordered_map<AttemptId, Call> m_calls;
+    // In the order of sending; each is also in m_calls.
+    std::deque<CallRequest> m_waiting;
+    std::map<uint64_t, Request> m_requests;
+    uint64_t m_nextRequest { 0 };
+
+    Timer m_connectTimer;
+    Timer m_pingTimer;
+    std::unique_ptr<PeerConnection> m_connection;
+    std::optional<Schema::Peer::Client> m_remote;
+    // Destroyed before the connection, as its promises refer to it.
+    std::unique_ptr<kj::TaskSet> m_tasks;
+};
+
+void PeerLink::Private::connect()
+{
+    m_connectTimer.startOnce(m_options.connectTimeout);
+    auto fd = startConnect(m_address.endpoint);
+    if (!fd) {
+        closeLater(fd.error());
+        return;
+    }
+    m_connectingFd = fd.value();
+    m_connectWatcher = std::make_unique<FdWatcher>(m_loop, m_connectingFd, FdInterest::Write, [this] { onWritable(); });
+    m_connectWatcher->start();
+}
+
+void PeerLink::Private::onWritable()
+{
+    m_connectWatcher.reset();
+    if (hasSocketError(m_connectingFd)) {
+        closeNow(PeerError::ConnectFailed);
+        return;
+    }
+    disableDelay(m_connectingFd);
+    auto callWritten = [this](const AttemptId& id) {
+        auto it = m_calls.find(id);
+        if (it != m_calls.end())
+            it->second.isWritten = true;
+    };
+    m_connection = std::make_unique<PeerConnection>(m_loop, std::exchange(m_connectingFd, -1),
+        capnp::rpc::twoparty::Side::CLIENT, kj::heap<PingResponder>(), m_options.maximumMessageBytes, callWritten);
+    m_tasks = std::make_unique<kj::TaskSet>(static_cast<kj::TaskSet::ErrorHandler&>(*this));
+    m_remote = m_connection->remote();
+    m_tasks->add(m_connection->onDisconnect().then([this] { closeLater(PeerError::LinkLost); }));
+    sayHello();
+}
+
+void PeerLink::Private::sayHello()
+{
+    auto request = m_remote->helloRequest();
+    auto hello = request.initHello();
+    hello.setProtocolVersion(peerProtocolVersion);
+    hello.setNode(m_self.value);
+    hello.setExpected(m_address.node.value);
+    auto replied = request.send().then(
+        [this](capnp::Response<Schema::Peer::HelloResults>&& response) { onHelloReply(response.getReply()); });
+    // Calls must not overtake each other on the way from the unresolved to the resolved capability.
+    m_tasks->add(replied.then([this] { return m_remote->whenResolved(); }).then([this] { open(); }));
+}
+
+void PeerLink::Private::onHelloReply(Schema::HelloReply::Reader reply)
+{
+    if (reply.getStatus() == Schema::HelloStatus::WRONG_NODE) {
+        closeLater(PeerError::WrongNode);
+        return;
+    }
+    if (reply.getStatus() != Schema::HelloStatus::ACCEPTED || reply.getProtocolVersion() != peerProtocolVersion) {
+        closeLater(PeerError::WrongVersion);
+        return;
+    }
+    NodeId node { reply.getNode() };
+    bool isExpected = m_address.node.isNull() || node == m_address.node;
+    if (node.isNull() || !isExpected) {
+        closeLater(PeerError::WrongNode);
+        return;
+    }
+    auto clock = readClock(reply.getClock());
+    if (!clock) {
+        closeLater(PeerError::Malformed);
+        return;
+    }
+    m_peer = node;
+    m_echoedClock = clock.value();
+    m_echoReceivedAt = steadyNow();
+}
+
+void PeerLink::Private::open()
+{
+    if (m_state != State::Connecting || m_peer.isNull())
+        return;
+    m_state = State::Open;
+    m_connectTimer.stop();
+    m_pingTimer.startPeriodic(m_options.pingInterval);
+    // Goes before the first call, so that the peer can translate its deadline.
+    sendPing();
+    for (const auto& it : std::exchange(m_waiting, {}))
+        transmit(it);
+    for (auto& [key, request] : m_requests)
+        request.start();
+    if (m_events.opened)
+        m_loop.post(m_events.opened);
+}
+
+void PeerLink::Private::tick()
+{
+    uint64_t bytes = bytesRead();
+    // A large response keeps an answer waiting behind it, so any byte counts as a sign of life.
+    if (bytes != std::exchange(m_bytesAtLastTick, bytes))
+        m_silence.heard();
+    if (m_silence.tick(steadyNow()) >= m_options.silenceLimit) {
+        closeNow(PeerError::PingTimeout);
+        return;
+    }
+    if (!m_isPingOutstanding)
+        sendPing();
+}
+
+void PeerLink::Private::sendPing()
+{
+    m_isPingOutstanding = true;
+    auto request = m_remote->pingRequest();
+    request.setEchoedClock(toMicroseconds(m_echoedClock));
+    request.setEchoReceivedAt(toMicroseconds(m_echoReceivedAt));
+    request.setClock(toMicroseconds(steadyNow()));
+    m_tasks->add(request.send().then([this](capnp::Response<Schema::Peer::PingResults>&& response) {
+        m_isPingOutstanding = false;
+        auto clock = readClock(response.getClock());
+        if (!clock) {
+            closeLater(PeerError::Malformed);
+            return;
+        }
+        m_echoedClock = clock.value();
+        m_echoReceivedAt = steadyNow();
+    }));
+}
+
+// Promises must not be destroyed from inside their own callbacks, so the link ends in a later turn.
+void PeerLink::Private::closeLater(PeerError reason)
+{
+    m_loop.post([self = shared_from_this(), reason] { self->closeNow(reason); });
+}
+
+void PeerLink::Private::abandon()
+{
+    if (m_state == State::Closed)
+        return;
+    m_state = State::Closed;
+    m_connectTimer.stop();
+    m_pingTimer.stop();
+    m_connectWatcher.reset();
+    if (m_connection)
+        m_connection->socket().abort();
+    m_calls.clear();
+    m_waiting.clear();
+    m_requests.clear();
+    m_events = {};
+}
+
+void PeerLink::Private::closeNow(PeerError reason)
+{
+    if (m_state == State::Closed)
+        return;
+    auto calls = std::move(m_calls);
+    auto requests = std::move(m_requests);
+    auto closed = std::move(m_events.closed);
+    m_closeReason = reason;
+    // Ends the socket first: after this, what has not been written never will be.
+    abandon();
+    m_tasks.reset();
+    m_remote.reset();
+    m_connection.reset();
+    for (auto& [id, call] : calls) {
+        CallResult result = call.isWritten
+            ? CallResult(CallReply(CallLost { .id = id, .reason = LossReason::LinkLost, .load = {} }))
+            : CallResult(NotSent { id, reason });
+        m_loop.post([completion = std::move(call.completion), result = std::move(result)] { completion(result); });
+    }
+    for (auto& [key, request] : requests)
+        request.fail(reason);
+    if (closed)
+        m_loop.post([closed = std::move(closed), reason] { closed(reason); });
+}
+
+void PeerLink::Private::send(CallRequest&& request, CallCompletion&& completion)
+{
+    AttemptId id = request.id;
+    std::optional<PeerError> refusal;
+    if (m_state == State::Closed)
+        refusal = m_closeReason;
+    else if (m_calls.contains(id))
+        refusal = PeerError::DuplicateAttempt;
+    else if (estimateSize(request) > m_options.maximumMessageBytes / 2)
+        refusal = PeerError::MessageTooLarge;
+    if (refusal) {
+        m_loop.post([completion = std::move(completion), result = NotSent { id, *refusal }] { completion(result); });
+        return;
+    }
+    m_calls.emplace(id, Call { .completion = std::move(completion) });
+    if (m_state == State::Open)
+        transmit(request);
+    else
+        m_waiting.push_back(std::move(request));
+}
+
+void PeerLink::Private::transmit(const CallRequest& call)
+{
+    AttemptId id = call.id;
+    auto request = m_remote->callRequest(capnp::MessageSize { estimateSize(call) / sizeof(capnp::word), 0 });
+    write(request.initRequest(), call);
+    auto replied = [this, id](capnp::Response<Schema::Peer::CallResults>&& response) {
+        auto reply = readCallReply(response.getReply());
+        bool isOurs = reply && attemptOf(reply.value()) == id;
+        if (isOurs)
+            finishCall(id, std::move(reply).value());
+        else
+            finishCall(id, CallReply(CallLost { .id = id, .reason = LossReason::AnswerMalformed, .load = {} }));
+    };
+    m_tasks->add(request.send().then(kj::mv(replied), [this, id](kj::Exception&& e) { onCallFailed(id, e); }));
+}
+
+void PeerLink::Private::onCallFailed(const AttemptId& id, const kj::Exception& failure)
+{
+    // The end of the link decides between NotSent and CallLost for all its calls.
+    if (failure.getType() == kj::Exception::Type::DISCONNECTED) {
+        closeLater(PeerError::LinkLost);
+        return;
+    }
+    auto it = m_calls.find(id);
+    if (it == m_calls.end())
+        return;
+    // Only the RPC system on this side rejects a call of which no byte has left.
+    if (it->second.isWritten)
+        finishCall(id, CallReply(CallLost { .id = id, .reason = LossReason::AnswerMalformed, .load = {} }));
+    else
+        closeLater(PeerError::RemoteFailed);
+}
+
+void PeerLink::Private::finishCall(const AttemptId& id, CallResult&& result)
+{
+    auto it = m_calls.find(id);
+    if (it == m_calls.end())
+        return;
+    auto completion = std::move(it->second.completion);
+    m_calls.erase(it);
+    m_loop.post(
+        [completion = std::move(completion), result = std::move(result)]() mutable { completion(std::move(result)); });
+}
+
+void PeerLink::Private::cancel(const CallCancel& cancelled)
+{
+    auto waiting = std::find_if(
+        m_waiting.begin(), m_waiting.end(), [&](const CallRequest& it) { return it.id == cancelled.id; });
+    if (waiting != m_waiting.end()) {
+        m_waiting.erase(waiting);
+        finishCall(cancelled.id, NotSent { cancelled.id, PeerError::Cancelled });
+        return;
+    }
+    if (m_state != State::Open)
+        return;
+    auto request = m_remote->cancelRequest();
+    write(request.initId(), cancelled.id);
+    // A lost cancellation is noticed by the end of the link.
+    m_tasks->add(request.send().ignoreResult().catch_([](kj::Exception&&) {}));
+}
+
+void PeerLink::Private::addRequest(Request&& request)
+{
+    if (m_state == State::Closed) {
+        request.fail(m_closeReason);
+        return;
+    }
+    auto [it, isNew] = m_requests.emplace(m_nextRequest, std::move(request));
+    ++m_nextRequest;
+    if (m_state == State::Open)
+        it->second.start();
+}
+
+template <typename Response, typename Completion, typename Read>
+void PeerLink::Private::await(uint64_t key, kj::Promise<Response>&& promise, Completion completion, Read read)
+{
+    using Outcome = decltype(read(std::declval<Response&>()));
+    auto finish = [this, key, completion](Outcome outcome) {
+        // Absent when the end of the link has failed the request already.
+        if (m_requests.erase(key))
+            m_loop.post([completion, outcome = std::move(outcome)] { completion(outcome); });
+    };
+    auto failed = [this, finish](kj::Exception&& e) {
+        if (e.getType() == kj::Exception::Type::DISCONNECTED)
+            closeLater(PeerError::LinkLost);
+        else
+            finish(PeerError::RemoteFailed);
+    };
+    m_tasks->add(promise.then([finish, read](Response&& response) { finish(read(response)); }, kj::mv(failed)));
+}
+
+void PeerLink::Private::query(CallQuery&& query, QueryCompletion&& completion)
+{
+    uint64_t key = m_nextRequest;
+    auto fail = [this, completion](PeerError ec) { m_loop.post([completion, ec] { completion(ec); }); };
+    auto start = [this, key, query, completion] {
+        auto request = m_remote->queryRequest();
+        write(request.initQuery(), query);
+        auto read
+            = [id = query.id](capnp::Response<Schema::Peer::QueryResults>& response) -> Result<QueryReply, PeerError> {
+            auto reply = readQueryReply(response.getReply());
+            if (reply && attemptOf(reply.value()) == id)
+                return reply;
+            return PeerError::Malformed;
+        };
+        await<capnp::Response<Schema::Peer::QueryResults>>(key, request.send(), completion, read);
+    };
+    addRequest({ .fail = fail, .start = start });
+}
+
+void PeerLink::Private::fetchConfiguration(ConfigurationCompletion&& completion)
+{
+    uint64_t key = m_nextRequest;
+    auto fail = [this, completion](PeerError ec) { m_loop.post([completion, ec] { completion(ec); }); };
+    auto start = [this, key, completion] {
+        auto read = [](capnp::Response<Schema::Peer::FetchConfigurationResults>& response) {
+            return readConfiguration(response.getConfiguration());
+        };
+        auto request = m_remote->fetchConfigurationRequest();
+        await<capnp::Response<Schema::Peer::FetchConfigurationResults>>(key, request.send(), completion, read);
+    };
+    addRequest({ .fail = fail, .start = start });
+}
+
+void PeerLink::Private::reportVersion(NodeId node, uint64_t version, ReportCompletion&& completion)
+{
+    uint64_t key = m_nextRequest;
+    auto fail = [this, completion](PeerError ec) { m_loop.post([completion, ec] { completion(ec); }); };
+    auto start = [this, key, node, version, completion] {
+        auto request = m_remote->reportVersionRequest();
+        request.setNode(node.value);
+        request.setVersion(version);
+        auto read = [](auto&) -> Result<void, PeerError> { return success(); };
+        await<capnp::Response<Schema::Peer::ReportVersionResults>>(key, request.send(), completion, read);
+    };
+    addRequest({ .fail = fail, .start = start });
+}
+
+PeerLink::PeerLink(EventLoop& loop, NodeId self, PeerAddress address, PeerLinkOptions options, PeerLinkEvents events)
+    : m_private(std::make_shared<Private>(loop, self, std::move(address), options, std::move(events)))
+{
+    m_private->connect();
+}
+
+PeerLink::~PeerLink()
+{
+    m_private->abandon();
+    m_private->closeLater(PeerError::Closed);
+}
+
+void PeerLink::send(CallRequest request, CallCompletion completion)
+{
+    m_private->send(std::move(request), std::move(completion));
+}
+
+void PeerLink::cancel(const CallCancel& cancelled) { m_private->cancel(cancelled); }
+
+void PeerLink::query(CallQuery query, QueryCompletion completion)
+{
+    m_private->query(std::move(query), std::move(completion));
+}
+
+void PeerLink::fetchConfiguration(ConfigurationCompletion completion)
+{
+    m_private->fetchConfiguration(std::move(completion));
+}
+
+void PeerLink::reportVersion(NodeId node, uint64_t version, ReportCompletion completion)
+{
+    m_private->reportVersion(node, version, std::move(completion));
+}
+
+void PeerLink::close(PeerError reason) { m_private->closeLater(reason); }
+
+bool PeerLink::isOpen() const { return m_private->isOpen(); }
+
+bool PeerLink::isClosed() const { return m_private->isClosed(); }
+
+NodeId PeerLink::peer() const { return m_private->peer(); }
+
+size_t PeerLink::outstanding() const { return m_private->outstanding(); }
+
+uint64_t PeerLink::bytesRead() const { return m_private->bytesRead(); }
+
+uint64_t PeerLink::bytesWritten() const { return m_private->bytesWritten(); }
+
+} // namespace Berylport
--- /dev/null
+++ b/Source/Peer/PeerLink.h
@@ -0,0 +1,83 @@
+// The sending end of a link: opens one connection to a peer and carries all calls to it.
+#pragma once
+
+#include "Base/Base.h"
+#include "Loop/EventLoop.h"
+#include "Peer/PeerError.h"
+
+#include <functional>
+#include <memory>
+
+namespace Berylport {
+
+struct PeerAddress {
+    // Null when the node on the endpoint is not known yet; any node is then accepted.
+    NodeId node;
+    Endpoint endpoint;
+    bool operator==(const PeerAddress&) const = default;
+};
+
+// The request was never handed to the socket and never will be.
+struct NotSent {
+    AttemptId id;
+    PeerError cause { PeerError::Closed };
+    bool operator==(const NotSent&) const = default;
+};
+
+// A reply of the peer; CallLost{LinkLost} when the link was lost after a byte of the request may have left; or NotSent.
+using CallResult = Result<CallReply, NotSent>;
+using CallCompletion = std::function<void(CallResult)>;
+using QueryCompletion = std::function<void(Result<QueryReply, PeerError>)>;
+using ConfigurationCompletion = std::function<void(Result<ConfigurationSnapshot, PeerError>)>;
+using ReportCompletion = std::function<void(Result<void, PeerError>)>;
+
+struct PeerLinkOptions {
+    // Covers the connect and the hello.
+    Duration connectTimeout { std::chrono::milliseconds(500) };
+    Duration pingInterval { std::chrono::milliseconds(500) };
+    // A link without an answer for this long is closed.
+    Duration silenceLimit { std::chrono::seconds(3) };
+    // Twice the largest response and its headers.
+    size_t maximumMessageBytes { 9 * 1024 * 1024 };
+};
+
+struct PeerLinkEvents {
+    std::function<void()> opened;
+    // The last event, also when the link could not be opened. Not called when the owner destroys the link.
+    std::function<void(PeerError)> closed;
+};
+
+// Completions and events are called in a later turn, each exactly once, in no case from inside a function of the link.
+// Destroying the link drops them.
+class PeerLink {
+public:
+    // Starts to connect at once. Requests made before the link is open wait for it.
+    PeerLink(EventLoop&, NodeId self, PeerAddress, PeerLinkOptions, PeerLinkEvents);
+    ~PeerLink();
+    PeerLink(const PeerLink&) = delete;
+    PeerLink& operator=(const PeerLink&) = delete;
+
+    // The deadline is on the own clock. DuplicateAttempt says nothing about the first request with that id.
+    void send(CallRequest, CallCompletion);
+    // Takes back a request that still waits for the link; otherwise tells the peer.
+    void cancel(const CallCancel&);
+    void query(CallQuery, QueryCompletion);
+    void fetchConfiguration(ConfigurationCompletion);
+    void reportVersion(NodeId, uint64_t version, ReportCompletion);
+    void close(PeerError = PeerError::Closed);
+
+    bool isOpen() const;
+    bool isClosed() const;
+    // The node at the other end; null until the link is open.
+    NodeId peer() const;
+    // Requests without a result so far.
+    size_t outstanding() const;
+    uint64_t bytesRead() const;
+    uint64_t bytesWritten() const;
+
+private:
+    class Private;
+    std::shared_ptr<Private> m_private;
+};
+
+} // namespace Berylport
--- /dev/null
+++ b/Source/Peer/ServerLink.cpp
@@ -0,0 +1,258 @@
+// Requests of one accepted link.
+#include "Peer/ServerLink.h"
+
+#include "Peer/PeerCodec.h"
+
+#include <kj/debug.h>
+#include <utility>
+
+namespace Berylport {
+
+namespace {
+
+// A reply function that may be copied and called once. Its promise fails when it is dropped without a call.
+template <typename Reply> std::function<void(Reply)> makeReply(kj::Own<kj::PromiseFulfiller<Reply>> fulfiller)
+{
+    auto shared = std::make_shared<kj::Own<kj::PromiseFulfiller<Reply>>>(kj::mv(fulfiller));
+    return [shared](Reply reply) { (*shared)->fulfill(kj::mv(reply)); };
+}
+
+CallLost tooLarge(const AttemptId& id) { return { .id = id, .reason = LossReason::AnswerTooLarge, .load = {} }; }
+
+} // namespace
+
+// Dispatches the methods of Peer.capnp. The RPC system may keep it a little longer than the link.
+class ServerLink::Service final : public Schema::Peer::Server {
+public:
+    explicit Service(std::weak_ptr<ServerLink> link)
+        : m_link(std::move(link))
+    {
+    }
+
+protected:
+    kj::Promise<void> hello(HelloContext context) override
+    {
+        auto link = require();
+        auto status = link->acceptHello(context.getParams().getHello());
+        auto reply = context.getResults().initReply();
+        reply.setStatus(status);
+        reply.setProtocolVersion(peerProtocolVersion);
+        reply.setNode(link->m_context.self.value);
+        reply.setClock(toMicroseconds(steadyNow()));
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> ping(PingContext context) override
+    {
+        auto link = require();
+        link->requireOpen();
+        auto params = context.getParams();
+        auto clock = readClock(params.getClock());
+        auto echoedClock = readClock(params.getEchoedClock());
+        auto echoReceivedAt = readClock(params.getEchoReceivedAt());
+        if (!clock || !echoedClock || !echoReceivedAt)
+            link->rejectMalformed();
+        link->notePing(clock.value(), echoedClock.value(), echoReceivedAt.value());
+        context.getResults().setClock(toMicroseconds(steadyNow()));
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> call(CallContext context) override
+    {
+        auto link = require();
+        link->requireOpen();
+        auto request = readCallRequest(context.getParams().getRequest());
+        if (!request)
+            link->rejectMalformed();
+        context.releaseParams();
+        AttemptId id = request.value().id;
+        request.value().deadline = link->translate(request.value().deadline);
+        auto pair = kj::newPromiseAndFulfiller<CallReply>();
+        link->m_context.loop.guard([&] {
+            auto reply = makeReply(kj::mv(pair.fulfiller));
+            link->m_context.handler.callArrived(link->m_info, std::move(request).value(), reply);
+        });
+        return pair.promise.then([context, id, limit = replyLimit(*link)](CallReply&& reply) mutable {
+            size_t size = estimateSize(reply);
+            auto builder = context.getResults(capnp::MessageSize { size / sizeof(capnp::word), 0 }).initReply();
+            if (size > limit)
+                write(builder, CallReply(tooLarge(id)));
+            else
+                write(builder, reply);
+        });
+    }
+
+    kj::Promise<void> cancel(CancelContext context) override
+    {
+        auto link = require();
+        link->requireOpen();
+        auto id = readAttemptId(context.getParams().getId());
+        if (!id)
+            link->rejectMalformed();
+        link->m_context.loop.guard(
+            [&] { link->m_context.handler.cancelArrived(link->m_info, CallCancel { .id = id.value() }); });
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> query(QueryContext context) override
+    {
+        auto link = require();
+        link->requireOpen();
+        auto query = readCallQuery(context.getParams().getQuery());
+        if (!query)
+            link->rejectMalformed();
+        AttemptId id = query.value().id;
+        query.value().deadline = link->translate(query.value().deadline);
+        auto pair = kj::newPromiseAndFulfiller<QueryReply>();
+        link->m_context.loop.guard([&] {
+            auto reply = makeReply(kj::mv(pair.fulfiller));
+            link->m_context.handler.queryArrived(link->m_info, query.value(), reply);
+        });
+        return pair.promise.then([context, id, limit = replyLimit(*link)](QueryReply&& reply) mutable {
+            size_t size = estimateSize(reply);
+            auto builder = context.getResults(capnp::MessageSize { size / sizeof(capnp::word), 0 }).initReply();
+            if (size > limit)
+                write(builder, QueryReply(tooLarge(id)));
+            else
+                write(builder, reply);
+        });
+    }
+
+    kj::Promise<void> fetchConfiguration(FetchConfigurationContext context) override
+    {
+        auto link = require();
+        link->requireOpen();
+        ConfigurationSnapshot snapshot;
+        link->m_context.loop.guard([&] { snapshot = link->m_context.handler.configuration(); });
+        KJ_REQUIRE(estimateSize(snapshot) <= replyLimit(*link), "the configuration is too large for one message");
+        write(context.getResults().initConfiguration(), snapshot);
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> reportVersion(ReportVersionContext context) override
+    {
+        auto link = require();
+        link->requireOpen();
+        auto params = context.getParams();
+        NodeId node { params.getNode() };
+        link->m_context.loop.guard(
+            [&] { link->m_context.handler.versionReported(link->m_info, node, params.getVersion()); });
+        return kj::READY_NOW;
+    }
+
+private:
+    std::shared_ptr<ServerLink> require() const
+    {
+        auto link = m_link.lock();
+        KJ_REQUIRE(link != nullptr, "the link is closed");
+        return link;
+    }
+
+    static size_t replyLimit(const ServerLink& link) { return link.m_context.options.maximumMessageBytes / 2; }
+
+    std::weak_ptr<ServerLink> m_link;
+};
+
+ServerLink::ServerLink(ServerContext& context, LinkId id, Ended ended)
+    : m_context(context)
+    , m_info { .id = id, .peer = {} }
+    , m_ended(std::move(ended))
+    , m_silence(context.options.checkInterval, steadyNow())
+{
+}
+
+ServerLink::~ServerLink() = default;
+
+void ServerLink::start(int fd)
+{
+    m_connection = std::make_unique<PeerConnection>(m_context.loop, fd, capnp::rpc::twoparty::Side::SERVER,
+        kj::heap<Service>(weak_from_this()), m_context.options.maximumMessageBytes, nullptr);
+    m_tasks = std::make_unique<kj::TaskSet>(static_cast<kj::TaskSet::ErrorHandler&>(*this));
+    m_tasks->add(m_connection->onDisconnect().then([this] { m_ended(m_info.id); }));
+}
+
+bool ServerLink::checkSilence()
+{
+    uint64_t bytes = m_connection->socket().bytesRead();
+    // Before the hello only its arrival counts, so that garbage cannot keep a link open.
+    bool hasHeard = m_state == State::Open && bytes != m_bytesAtLastCheck;
+    m_bytesAtLastCheck = bytes;
+    if (hasHeard)
+        m_silence.heard();
+    return m_silence.tick(steadyNow()) < m_context.options.silenceLimit;
+}
+
+void ServerLink::abort()
+{
+    m_state = State::Closed;
+    if (m_connection)
+        m_connection->socket().abort();
+}
+
+void ServerLink::confirm(const std::function<void(const LinkInfo&)>& confirmed)
+{
+    Instant sent = steadyNow();
+    auto request = m_connection->remote().pingRequest();
+    request.setClock(toMicroseconds(sent));
+    auto answered = request.send().then([this, sent](capnp::Response<Schema::Peer::PingResults>&& response) {
+        if (auto clock = readClock(response.getClock()))
+            m_offset.noteExchange(sent, clock.value(), steadyNow());
+        // Requests read before this answer may still be queued for dispatch; evalLast comes after all of them.
+        return kj::evalLast([] {});
+    });
+    m_tasks->add(answered.then([this, confirmed] {
+        m_context.loop.post([confirmed, info = m_info, link = weak_from_this()] {
+            auto self = link.lock();
+            if (self && self->isOpen())
+                confirmed(info);
+        });
+    }));
+}
+
+void ServerLink::requireOpen() const { KJ_REQUIRE(m_state == State::Open, "a hello must be accepted first"); }
+
+void ServerLink::rejectMalformed()
+{
+    ++m_context.counters.malformedMessages;
+    throw KJ_EXCEPTION(FAILED, "malformed message");
+}
+
+Schema::HelloStatus ServerLink::acceptHello(Schema::Hello::Reader hello)
+{
+    KJ_REQUIRE(m_state == State::AwaitingHello, "a link has one hello");
+    NodeId expected { hello.getExpected() };
+    NodeId peer { hello.getNode() };
+    m_state = State::Refused;
+    if (hello.getProtocolVersion() != peerProtocolVersion) {
+        ++m_context.counters.refusedHellos;
+        return Schema::HelloStatus::WRONG_VERSION;
+    }
+    if ((!expected.isNull() && expected != m_context.self) || peer.isNull()) {
+        ++m_context.counters.refusedHellos;
+        return Schema::HelloStatus::WRONG_NODE;
+    }
+    m_state = State::Open;
+    m_info.peer = peer;
+    m_silence.heard();
+    m_context.loop.guard([this] { m_context.handler.linkOpened(m_info); });
+    return Schema::HelloStatus::ACCEPTED;
+}
+
+// The peer's echo bounds the offset from above: it read echoReceivedAt after this side had read echoedClock. The clock
+// of the ping itself bounds it from below.
+void ServerLink::notePing(Instant clock, Instant echoedClock, Instant echoReceivedAt)
+{
+    Instant now = steadyNow();
+    if (echoedClock > now)
+        rejectMalformed();
+    if (echoedClock != Instant())
+        m_offset.noteUpperBound(echoReceivedAt - echoedClock, echoedClock);
+    m_offset.noteLowerBound(clock - now, now);
+}
+
+Instant ServerLink::translate(Instant peerTime) const
+{
+    return m_offset.earliest(peerTime, steadyNow()).value_or(Instant());
+}
+
+} // namespace Berylport
--- /dev/null
+++ b/Source/Peer/Sockets.h
@@ -0,0 +1,34 @@
+// Sockets of the links and of gossip, from endpoints with an IP number.
+#pragma once
+
+#include "Base/Identifiers.h"
+#include "Base/Result.h"
+#include "Peer/PeerError.h"
+
+#include <optional>
+#include <sys/socket.h>
+
+namespace Berylport {
+
+struct SocketAddress {
+    sockaddr_storage storage {};
+    socklen_t size { sizeof(sockaddr_storage) };
+    sockaddr* get() { return reinterpret_cast<sockaddr*>(&storage); }
+    const sockaddr* get() const { return reinterpret_cast<const sockaddr*>(&storage); }
+};
+
+std::optional<SocketAddress> toSocketAddress(const Endpoint&);
+Endpoint toEndpoint(const SocketAddress&);
+// The own endpoint of a bound socket.
+Endpoint localEndpoint(int fd);
+
+// All sockets are non-blocking and closed on exec.
+Result<int, PeerError> createListener(const Endpoint&);
+Result<int, PeerError> createDatagramSocket(const Endpoint&);
+// The connection is established, or has failed, when the socket becomes writable.
+Result<int, PeerError> startConnect(const Endpoint&);
+// Small messages must not wait for the acknowledgement of earlier ones.
+void disableDelay(int fd);
+bool hasSocketError(int fd);
+
+} // namespace Berylport
