Add admission control and the call ledger

Cause: the node beside a target must start a non-idempotent call at most once and must never report a call as not run that ran or will run.

Change: CallLedger remembers attempts (queued, running, finished, refused, lost) with O(log n) eviction; AdmissionController decides starts, queueing, load shedding, cancels, queries, drain and the pause gate. Refusals beyond 16,384 tombstones move to a Bloom filter, so an overload cannot fill the ledger. LinkId joins the shared identifiers.

--- /dev/null
+++ b/Source/Admission/AdmissionController.cpp
@@ -0,0 +1,448 @@
+// Admission, load shedding, starts and replies for one target.
+#include "Admission/AdmissionController.h"
+
+#include <algorithm>
+
+namespace Berylport {
+
+namespace {
+
+// What a nested call leaves of its parent's time for the way back.
+constexpr Duration nestedCallMargin = std::chrono::milliseconds(5);
+constexpr uint32_t maximumDepth = 32;
+
+uint16_t toCount(size_t n) { return static_cast<uint16_t>(std::min<size_t>(n, UINT16_MAX)); }
+
+} // namespace
+
+AdmissionController::AdmissionController(AdmissionOptions options)
+    : m_options(std::move(options))
+    , m_slots(m_options.slots)
+    , m_queue(m_tenants)
+    , m_ledger(m_options.ledger)
+{
+}
+
+void AdmissionController::setDefinition(const ServiceDefinition& definition)
+{
+    if (definition.name == m_options.service)
+        m_definition = definition;
+}
+
+void AdmissionController::setSlots(Instant now, uint16_t slots, AdmissionActions& actions)
+{
+    m_slots = slots;
+    tick(now, actions);
+}
+
+void AdmissionController::setTargetState(Instant now, TargetState state, AdmissionActions& actions)
+{
+    bool isFresh = m_state == TargetState::Starting || m_state == TargetState::Down;
+    if (state == TargetState::Ready && isFresh)
+        m_warmUntil = now + m_options.warmUp;
+    m_state = state;
+    if (state == TargetState::Starting || state == TargetState::Down)
+        refuseAllQueued(now, RefusalReason::NoTarget, actions);
+    tick(now, actions);
+}
+
+void AdmissionController::drain(Instant now, AdmissionActions& actions)
+{
+    m_isNodeDraining = true;
+    tick(now, actions);
+}
+
+void AdmissionController::linkOpened(LinkId link) { m_gate.openLink(link); }
+
+void AdmissionController::linkClosed(Instant now, LinkId link, AdmissionActions& actions)
+{
+    m_gate.closeLink(link);
+    for (auto& id : m_ledger.removeLink(link)) {
+        LedgerEntry* entry = m_ledger.find(id);
+        if (entry->kind == RequestKind::Idempotent)
+            cancelLive(now, *entry, actions);
+    }
+    tick(now, actions);
+}
+
+uint64_t AdmissionController::pauseDetected(Instant now, AdmissionActions& actions)
+{
+    uint64_t pause = m_gate.close();
+    tick(now, actions);
+    return pause;
+}
+
+void AdmissionController::linkConfirmed(Instant now, LinkId link, uint64_t pause, AdmissionActions& actions)
+{
+    m_gate.confirm(link, pause);
+    tick(now, actions);
+}
+
+void AdmissionController::tick(Instant now, AdmissionActions& actions)
+{
+    dropExpired(now, actions);
+    m_ledger.evictExpired(now);
+    startWaiting(now, actions);
+}
+
+// A definition that has just become stricter holds for requests that were sent under the former one as well.
+RequestKind AdmissionController::strictestKind(const CallRequest& request) const
+{
+    return request.kind == RequestKind::Idempotent ? holdKind() : request.kind;
+}
+
+void AdmissionController::offer(Instant now, LinkId link, CallRequest request, AdmissionActions& actions)
+{
+    m_gate.openLink(link);
+    tick(now, actions);
+    RequestKind kind = strictestKind(request);
+    LedgerLookup found = m_ledger.lookUp(now, request.id, request.deadline, kind, holdKind());
+    if (found.match == LedgerMatch::Known && found.entry->isLive()) {
+        m_ledger.addRequester(*found.entry, { .link = link, .asked = request.id });
+        return;
+    }
+    if (found.match != LedgerMatch::Unknown) {
+        actions.push_back(Reply { .link = link, .reply = makeReply(now, request.id, found) });
+        return;
+    }
+    if (auto reason = findRefusal(now, request)) {
+        refuseUnknown(now, link, request, *reason, actions);
+        return;
+    }
+    admit(now, link, std::move(request), actions);
+}
+
+std::optional<RefusalReason> AdmissionController::findRefusal(Instant now, const CallRequest& request) const
+{
+    if (request.receiver != m_options.self)
+        return RefusalReason::WrongNode;
+    if (request.service != m_options.service)
+        return RefusalReason::NoTarget;
+    if (auto reason = findStateRefusal())
+        return reason;
+    if (request.depth > maximumDepth)
+        return RefusalReason::DepthExceeded;
+    if (request.deadline <= now)
+        return RefusalReason::DeadlinePassed;
+    if (!m_ledger.hasRoom())
+        return RefusalReason::LedgerFull;
+    if (isTooLate(now, request))
+        return RefusalReason::DeadlineTooNear;
+    return std::nullopt;
+}
+
+std::optional<RefusalReason> AdmissionController::findStateRefusal() const
+{
+    if (m_isNodeDraining || m_state == TargetState::Draining)
+        return RefusalReason::Draining;
+    if (m_state != TargetState::Ready || !m_definition || !m_slots)
+        return RefusalReason::NoTarget;
+    return std::nullopt;
+}
+
+// A call that starts just before its deadline is answered too late, so the answer is counted in. With a free slot the
+// estimate is not used: an average that is too high would otherwise refuse all calls and never be corrected.
+bool AdmissionController::isTooLate(Instant now, const CallRequest& request) const
+{
+    if (canStart() || !m_serviceTime.isKnown())
+        return false;
+    auto ahead = static_cast<int64_t>(m_queue.countAhead(request.tenant, request.priority));
+    Duration wait = (ahead + 1) * m_serviceTime.average() / m_slots;
+    return now + wait + m_serviceTime.average() > request.deadline;
+}
+
+bool AdmissionController::canStart() const
+{
+    bool takesWork = m_state == TargetState::Ready || m_state == TargetState::Draining;
+    return takesWork && m_gate.isOpen() && m_running < m_slots;
+}
+
+// Whatever could start has been started by the tick before, so with a free slot the queue is empty.
+void AdmissionController::admit(Instant now, LinkId link, CallRequest request, AdmissionActions& actions)
+{
+    bool startsNow = canStart();
+    auto reason = startsNow ? std::nullopt : makeRoom(now, request, actions);
+    if (reason) {
+        refuseUnknown(now, link, request, *reason, actions);
+        return;
+    }
+    LedgerEntry& entry = m_ledger.insert(request, strictestKind(request));
+    m_ledger.addRequester(entry, { .link = link, .asked = request.id });
+    if (startsNow)
+        start(now, entry, std::move(request), actions);
+    else
+        m_queue.push(std::move(request));
+}
+
+// Slots and queue positions per tenant that has a call here.
+uint32_t AdmissionController::fairShare(const TenantName& tenant) const
+{
+    uint32_t positions = m_slots + m_definition->queueLimit;
+    uint32_t active = m_tenants.countActive(tenant);
+    return (positions + active - 1) / active;
+}
+
+std::optional<RefusalReason> AdmissionController::makeRoom(
+    Instant now, const CallRequest& request, AdmissionActions& actions)
+{
+    if (m_queue.bytes() + request.http.body.size() > m_options.maximumQueuedBytes)
+        return RefusalReason::QueueFull;
+    if (m_queue.size() < m_definition->queueLimit)
+        return std::nullopt;
+    uint32_t share = fairShare(request.tenant);
+    bool isOverShare = m_tenants.usage(request.tenant) >= share;
+    RefusalReason ownReason = isOverShare ? RefusalReason::TenantOverShare : RefusalReason::QueueFull;
+    const CallRequest* victim = m_queue.findVictim();
+    if (!victim || victim->priority < request.priority)
+        return ownReason;
+    bool isVictimOverShare = m_tenants.usage(victim->tenant) > share;
+    if (victim->priority == request.priority && (isOverShare || !isVictimOverShare))
+        return ownReason;
+    auto reason = isVictimOverShare ? RefusalReason::TenantOverShare : RefusalReason::QueueFull;
+    auto shed = m_queue.take(AttemptId(victim->id));
+    refuse(now, *m_ledger.find(shed->id), reason, actions);
+    return std::nullopt;
+}
+
+void AdmissionController::startWaiting(Instant now, AdmissionActions& actions)
+{
+    while (canStart()) {
+        auto request = m_queue.takeNext(m_serviceTime.average());
+        if (!request)
+            return;
+        startOrDrop(now, std::move(*request), actions);
+    }
+}
+
+// Only while another call waits: an average that is too high must not leave the slot idle.
+void AdmissionController::startOrDrop(Instant now, CallRequest request, AdmissionActions& actions)
+{
+    LedgerEntry& entry = *m_ledger.find(request.id);
+    bool isTooLateToUse = now + m_serviceTime.average() > request.deadline;
+    if (request.deadline <= now)
+        refuse(now, entry, RefusalReason::DeadlinePassed, actions);
+    else if (isTooLateToUse && !m_queue.isEmpty())
+        refuse(now, entry, RefusalReason::DeadlineTooNear, actions);
+    else
+        start(now, entry, std::move(request), actions);
+}
+
+void AdmissionController::start(Instant now, LedgerEntry& entry, CallRequest request, AdmissionActions& actions)
+{
+    m_ledger.start(entry, now);
+    m_tenants.noteStarted(entry.tenant);
+    m_running++;
+    actions.push_back(StartOnTarget {
+        .id = request.id,
+        .service = std::move(request.service),
+        .tenant = std::move(request.tenant),
+        .kind = entry.kind,
+        .deadline = request.deadline,
+        .http = std::move(request.http),
+    });
+}
+
+void AdmissionController::dropExpired(Instant now, AdmissionActions& actions)
+{
+    while (auto request = m_queue.takeExpired(now))
+        refuse(now, *m_ledger.find(request->id), RefusalReason::DeadlinePassed, actions);
+}
+
+void AdmissionController::refuseAllQueued(Instant now, RefusalReason reason, AdmissionActions& actions)
+{
+    while (auto request = m_queue.takeNext(m_serviceTime.average()))
+        refuse(now, *m_ledger.find(request->id), reason, actions);
+}
+
+void AdmissionController::cancel(Instant now, const CallCancel& message, AdmissionActions& actions)
+{
+    LedgerEntry* entry = m_ledger.find(message.id);
+    if (!entry)
+        return;
+    if (auto* joined = std::get_if<AttemptJoined>(&entry->state))
+        entry = m_ledger.find(joined->original);
+    if (entry)
+        cancelLive(now, *entry, actions);
+}
+
+void AdmissionController::cancelLive(Instant now, LedgerEntry& entry, AdmissionActions& actions)
+{
+    if (m_queue.take(entry.id)) {
+        refuse(now, entry, RefusalReason::Cancelled, actions);
+        return;
+    }
+    auto* running = std::get_if<AttemptRunning>(&entry.state);
+    if (!running || running->isCancelSent || entry.kind != RequestKind::Idempotent)
+        return;
+    running->isCancelSent = true;
+    actions.push_back(CancelOnTarget { .id = entry.id });
+}
+
+void AdmissionController::query(Instant now, LinkId link, const CallQuery& message, AdmissionActions& actions)
+{
+    m_gate.openLink(link);
+    tick(now, actions);
+    LedgerLookup found = m_ledger.lookUp(now, message.id, message.deadline, std::nullopt, holdKind());
+    if (found.match == LedgerMatch::Known && found.entry->isLive()) {
+        m_ledger.addRequester(*found.entry, { .link = link, .asked = message.id });
+        actions.push_back(AnswerQuery { .link = link, .reply = CallPending { .id = message.id } });
+        return;
+    }
+    bool isUnknown = found.match == LedgerMatch::Unknown;
+    if (isUnknown && message.receiver != m_options.self) {
+        // An earlier process may have run it.
+        CallLost lost { .id = message.id, .reason = LossReason::NodeRestarted, .load = load(now) };
+        actions.push_back(AnswerQuery { .link = link, .reply = lost });
+        return;
+    }
+    if (isUnknown)
+        m_ledger.insertTombstone(now, message.id, message.deadline, holdKind(), RefusalReason::RefusedBefore);
+    CallReply reply = makeReply(now, message.id, found);
+    std::visit([&](auto& it) { actions.push_back(AnswerQuery { .link = link, .reply = std::move(it) }); }, reply);
+}
+
+LedgerEntry* AdmissionController::endRunning(const AttemptId& id)
+{
+    LedgerEntry* entry = m_ledger.find(id);
+    if (!entry || !entry->is<AttemptRunning>())
+        return nullptr;
+    m_running--;
+    return entry;
+}
+
+void AdmissionController::targetAnswered(
+    Instant now, const AttemptId& id, HttpResponse answer, AdmissionActions& actions)
+{
+    LedgerEntry* entry = endRunning(id);
+    if (!entry)
+        return;
+    Duration elapsed = now - std::get<AttemptRunning>(entry->state).startedAt;
+    m_serviceTime.noteAnswer(elapsed);
+    m_tenants.noteServiceTime(entry->tenant, elapsed);
+    m_tenants.noteEnded(entry->tenant);
+    for (auto& it : m_ledger.finish(*entry, std::move(answer)))
+        actions.push_back(Reply { .link = it.link, .reply = makeReply(now, it.asked, *entry) });
+    tick(now, actions);
+}
+
+void AdmissionController::targetLost(Instant now, const AttemptId& id, LossReason reason, AdmissionActions& actions)
+{
+    LedgerEntry* entry = endRunning(id);
+    if (!entry)
+        return;
+    m_serviceTime.noteLost(now - std::get<AttemptRunning>(entry->state).startedAt);
+    m_tenants.noteEnded(entry->tenant);
+    for (auto& it : m_ledger.lose(*entry, reason))
+        actions.push_back(Reply { .link = it.link, .reply = makeReply(now, it.asked, *entry) });
+    tick(now, actions);
+}
+
+void AdmissionController::targetNotReached(Instant now, const AttemptId& id, AdmissionActions& actions)
+{
+    LedgerEntry* entry = endRunning(id);
+    if (!entry)
+        return;
+    m_tenants.noteEnded(entry->tenant);
+    refuse(now, *entry, RefusalReason::ConnectFailed, actions);
+    tick(now, actions);
+}
+
+void AdmissionController::refuse(Instant now, LedgerEntry& entry, RefusalReason reason, AdmissionActions& actions)
+{
+    for (auto& it : m_ledger.refuse(now, entry, reason))
+        actions.push_back(Reply { .link = it.link, .reply = makeRefusal(now, it.asked, reason) });
+}
+
+void AdmissionController::refuseUnknown(
+    Instant now, LinkId link, const CallRequest& request, RefusalReason reason, AdmissionActions& actions)
+{
+    m_ledger.insertTombstone(now, request.id, request.deadline, strictestKind(request), reason);
+    actions.push_back(Reply { .link = link, .reply = makeRefusal(now, request.id, reason) });
+}
+
+// A tenant above its share comes back when the whole queue has drained, others when half of it has.
+Duration AdmissionController::retryAfter(RefusalReason reason) const
+{
+    bool passesWithTheQueue = reason == RefusalReason::QueueFull || reason == RefusalReason::TenantOverShare
+        || reason == RefusalReason::DeadlineTooNear;
+    if (!passesWithTheQueue || !m_slots)
+        return {};
+    auto queued = static_cast<int64_t>(m_queue.size());
+    Duration drainTime = (queued + 1) * m_serviceTime.average() / m_slots;
+    return reason == RefusalReason::TenantOverShare ? drainTime : drainTime / 2;
+}
+
+CallRefused AdmissionController::makeRefusal(Instant now, const AttemptId& id, RefusalReason reason) const
+{
+    return { .id = id, .reason = reason, .retryAfter = retryAfter(reason), .load = load(now) };
+}
+
+// The entry must have ended.
+CallReply AdmissionController::makeReply(Instant now, const AttemptId& asked, const LedgerEntry& entry) const
+{
+    if (auto* finished = std::get_if<AttemptFinished>(&entry.state)) {
+        return CallAnswered {
+            .id = asked, .http = finished->answer, .load = load(now), .retryTokensUsed = finished->retryTokensUsed
+        };
+    }
+    if (auto* lost = std::get_if<AttemptLost>(&entry.state))
+        return CallLost { .id = asked, .reason = lost->reason, .load = load(now) };
+    return makeRefusal(now, asked, RefusalReason::RefusedBefore);
+}
+
+CallReply AdmissionController::makeReply(Instant now, const AttemptId& asked, const LedgerLookup& found) const
+{
+    if (found.match == LedgerMatch::Known)
+        return makeReply(now, asked, *found.entry);
+    if (found.match == LedgerMatch::Forgotten)
+        return CallLost { .id = asked, .reason = LossReason::AnswerDropped, .load = load(now) };
+    return makeRefusal(now, asked, RefusalReason::RefusedBefore);
+}
+
+Result<ParentAllowance, RefusalReason> AdmissionController::findParent(Instant now, const CallId& call) const
+{
+    const LedgerEntry* parent = m_ledger.findRunning(call);
+    if (!parent || std::get<AttemptRunning>(parent->state).isCancelSent)
+        return RefusalReason::UnknownParent;
+    if (parent->depth >= maximumDepth)
+        return RefusalReason::DepthExceeded;
+    Instant deadline = parent->deadline - nestedCallMargin;
+    if (deadline <= now)
+        return RefusalReason::DeadlinePassed;
+    return ParentAllowance {
+        .deadline = deadline,
+        .retryTokens = parent->retryTokensLeft,
+        .depth = parent->depth + 1,
+    };
+}
+
+uint32_t AdmissionController::takeRetryTokens(const CallId& call, uint32_t wanted)
+{
+    LedgerEntry* parent = m_ledger.findRunning(call);
+    if (!parent)
+        return 0;
+    uint32_t taken = std::min(wanted, parent->retryTokensLeft);
+    parent->retryTokensLeft -= taken;
+    return taken;
+}
+
+void AdmissionController::returnRetryTokens(const CallId& call, uint32_t unused)
+{
+    LedgerEntry* parent = m_ledger.findRunning(call);
+    if (!parent)
+        return;
+    parent->retryTokensLeft += std::min(unused, parent->retryTokens - parent->retryTokensLeft);
+}
+
+LoadReport AdmissionController::load(Instant now) const
+{
+    return {
+        .slots = m_slots,
+        .running = toCount(m_running),
+        .queued = toCount(m_queue.size()),
+        .serviceTime = m_serviceTime.average(),
+        .isWarmingUp = m_state == TargetState::Ready && now < m_warmUntil,
+    };
+}
+
+} // namespace Berylport
--- /dev/null
+++ b/Source/Admission/AdmissionController.h
@@ -0,0 +1,119 @@
+// Decides for one target which calls start, wait, or are refused. It is the only one that starts calls there.
+#pragma once
+
+#include "Admission/AdmissionAction.h"
+#include "Admission/CallLedger.h"
+#include "Admission/CallQueue.h"
+#include "Admission/PauseGate.h"
+#include "Admission/ServiceTimeEstimator.h"
+#include "Admission/TenantTable.h"
+#include "Base/Base.h"
+
+#include <optional>
+
+namespace Berylport {
+
+struct AdmissionOptions {
+    NodeId self {};
+    ServiceName service {};
+    uint16_t slots { 10 };
+    Duration warmUp { std::chrono::seconds(10) };
+    // Bodies of queued requests; at 1 MiB a request the queue limit alone would allow gigabytes.
+    size_t maximumQueuedBytes { 32 * 1024 * 1024 };
+    LedgerOptions ledger {};
+};
+
+// What a nested call inherits from its parent.
+struct ParentAllowance {
+    Instant deadline;
+    uint32_t retryTokens { 0 };
+    uint32_t depth { 0 };
+};
+
+class AdmissionController {
+public:
+    // The target begins as Starting and without a definition; both refuse calls.
+    explicit AdmissionController(AdmissionOptions);
+    // The queue refers to the tenant table beside it.
+    AdmissionController(const AdmissionController&) = delete;
+    AdmissionController& operator=(const AdmissionController&) = delete;
+
+    void setDefinition(const ServiceDefinition&);
+    void setSlots(Instant now, uint16_t slots, AdmissionActions&);
+    void setTargetState(Instant now, TargetState, AdmissionActions&);
+    // The node leaves: no new call is accepted from now on, whatever the target's state becomes.
+    void drain(Instant now, AdmissionActions&);
+
+    // Links have to be known for the pause gate. A link that opens while starts are held has to be pinged as well.
+    void linkOpened(LinkId);
+    // Idempotent calls that nobody waits for any more are cancelled; others go on.
+    void linkClosed(Instant now, LinkId, AdmissionActions&);
+    // Holds all starts. Each link is then pinged with the returned number, which linkConfirmed hands back.
+    uint64_t pauseDetected(Instant now, AdmissionActions&);
+    void linkConfirmed(Instant now, LinkId, uint64_t pause, AdmissionActions&);
+
+    void offer(Instant now, LinkId, CallRequest, AdmissionActions&);
+    void cancel(Instant now, const CallCancel&, AdmissionActions&);
+    void query(Instant now, LinkId, const CallQuery&, AdmissionActions&);
+
+    void targetAnswered(Instant now, const AttemptId&, HttpResponse, AdmissionActions&);
+    // Some of the request may have reached the target.
+    void targetLost(Instant now, const AttemptId&, LossReason, AdmissionActions&);
+    // No byte of the request was sent.
+    void targetNotReached(Instant now, const AttemptId&, AdmissionActions&);
+
+    void tick(Instant now, AdmissionActions&);
+    // When tick has something to do, unless another input comes first.
+    std::optional<Instant> nextWake() const { return m_queue.earliestDeadline(); }
+
+    Result<ParentAllowance, RefusalReason> findParent(Instant now, const CallId&) const;
+    // Takes up to the given number from the running parent for a nested call; returns how many.
+    uint32_t takeRetryTokens(const CallId& parent, uint32_t wanted);
+    void returnRetryTokens(const CallId& parent, uint32_t unused);
+
+    bool isDrained() const { return !m_running && m_queue.isEmpty(); }
+    bool areStartsHeld() const { return !m_gate.isOpen(); }
+    LoadReport load(Instant now) const;
+    const CallLedger& ledger() const { return m_ledger; }
+
+private:
+    RequestKind strictestKind(const CallRequest&) const;
+    RequestKind holdKind() const { return m_definition ? m_definition->kind : RequestKind::AtMostOnce; }
+    std::optional<RefusalReason> findRefusal(Instant now, const CallRequest&) const;
+    std::optional<RefusalReason> findStateRefusal() const;
+    bool isTooLate(Instant now, const CallRequest&) const;
+    std::optional<RefusalReason> makeRoom(Instant now, const CallRequest&, AdmissionActions&);
+    uint32_t fairShare(const TenantName&) const;
+    void admit(Instant now, LinkId, CallRequest, AdmissionActions&);
+    bool canStart() const;
+    void startWaiting(Instant now, AdmissionActions&);
+    void startOrDrop(Instant now, CallRequest, AdmissionActions&);
+    void start(Instant now, LedgerEntry&, CallRequest, AdmissionActions&);
+    void dropExpired(Instant now, AdmissionActions&);
+    void refuseAllQueued(Instant now, RefusalReason, AdmissionActions&);
+    void refuse(Instant now, LedgerEntry&, RefusalReason, AdmissionActions&);
+    void refuseUnknown(Instant now, LinkId, const CallRequest&, RefusalReason, AdmissionActions&);
+    void cancelLive(Instant now, LedgerEntry&, AdmissionActions&);
+    // Frees the slot of a running attempt; null when it is not running.
+    LedgerEntry* endRunning(const AttemptId&);
+    Duration retryAfter(RefusalReason) const;
+    CallRefused makeRefusal(Instant now, const AttemptId&, RefusalReason) const;
+    CallReply makeReply(Instant now, const AttemptId& asked, const LedgerEntry&) const;
+    CallReply makeReply(Instant now, const AttemptId& asked, const LedgerLookup&) const;
+
+    AdmissionOptions m_options;
+    std::optional<ServiceDefinition> m_definition;
+    TargetState m_state { TargetState::Starting };
+    bool m_isNodeDraining { false };
+    uint16_t m_slots;
+    // Equal to the number of ledger entries that are running.
+    uint32_t m_running { 0 };
+    Instant m_warmUntil;
+    ServiceTimeEstimator m_serviceTime;
+    TenantTable m_tenants;
+    CallQueue m_queue;
+    PauseGate m_gate;
+    CallLedger m_ledger;
+};
+
+} // namespace Berylport
--- /dev/null
+++ b/Source/Admission/CallLedger.cpp
@@ -0,0 +1,294 @@
+// States, indexes and eviction of the call ledger.
+#include "Admission/CallLedger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Berylport {
+
+namespace {
+
+size_t countBytes(const HttpResponse& answer)
+{
+    size_t bytes = answer.body.size() + answer.reason.size();
+    for (auto& it : answer.headers)
+        bytes += it.name.size() + it.value.size();
+    return bytes;
+}
+
+} // namespace
+
+Duration CallLedger::holdFor(RequestKind kind) const
+{
+    return kind == RequestKind::Patient ? m_options.patientHold : m_options.hold;
+}
+
+bool CallLedger::isBeyondMemory(Instant now, Instant deadline, RequestKind kind) const
+{
+    return deadline > now + m_options.maximumLifetime || now > deadline + holdFor(kind)
+        || deadline <= m_evictedDeadline + m_options.clockSlack;
+}
+
+LedgerEntry* CallLedger::find(const AttemptId& id)
+{
+    auto it = m_entries.find(id);
+    return it == m_entries.end() ? nullptr : &it->second;
+}
+
+const LedgerEntry* CallLedger::findRunning(const CallId& call) const
+{
+    auto it = m_calls.find(call);
+    if (it == m_calls.end() || !it->second.running)
+        return nullptr;
+    return &m_entries.at({ .call = call, .attempt = *it->second.running });
+}
+
+LedgerEntry* CallLedger::findRunning(const CallId& call)
+{
+    return const_cast<LedgerEntry*>(std::as_const(*this).findRunning(call));
+}
+
+// The attempt that a further attempt of the same call has to join, if one of them must not run twice.
+LedgerEntry* CallLedger::findOriginal(const CallId& call, std::optional<RequestKind> kind)
+{
+    auto it = m_calls.find(call);
+    if (it == m_calls.end())
+        return nullptr;
+    auto attempt = it->second.started ? it->second.started : it->second.queued;
+    if (!attempt)
+        return nullptr;
+    LedgerEntry* entry = find({ .call = call, .attempt = *attempt });
+    bool mayRunAgain = entry->kind == RequestKind::Idempotent && kind.value_or(entry->kind) == RequestKind::Idempotent;
+    return mayRunAgain ? nullptr : entry;
+}
+
+LedgerLookup CallLedger::lookUp(
+    Instant now, const AttemptId& id, Instant deadline, std::optional<RequestKind> kind, RequestKind holdKind)
+{
+    evictExpired(now);
+    if (LedgerEntry* entry = find(id))
+        return resolve(*entry);
+    if (isBeyondMemory(now, deadline, holdKind))
+        return { .match = LedgerMatch::Forgotten };
+    if (m_refused.mayContain(now, id))
+        return { .match = LedgerMatch::RefusedBefore };
+    if (LedgerEntry* original = findOriginal(id.call, kind))
+        return join(id, deadline, *original);
+    return {};
+}
+
+LedgerLookup CallLedger::resolve(LedgerEntry& entry)
+{
+    LedgerEntry* original = &entry;
+    if (auto* joined = std::get_if<AttemptJoined>(&entry.state)) {
+        original = find(joined->original);
+        if (!original)
+            return { .match = LedgerMatch::Forgotten };
+    }
+    if (original->is<AttemptRefused>())
+        return { .match = LedgerMatch::RefusedBefore };
+    return { .match = LedgerMatch::Known, .entry = original };
+}
+
+// Without room for the alias its fate could not be remembered, so it is reported as unknown rather than refused.
+LedgerLookup CallLedger::join(const AttemptId& id, Instant deadline, LedgerEntry& original)
+{
+    if (!hasRoom())
+        return { .match = LedgerMatch::Forgotten };
+    LedgerEntry& alias = addEntry(id, deadline, original.kind);
+    alias.state = AttemptJoined { .original = original.id };
+    m_expiry.emplace(alias.keepUntil, id);
+    keepLonger(original, alias.keepUntil);
+    return { .match = LedgerMatch::Known, .entry = &original };
+}
+
+LedgerEntry& CallLedger::addEntry(const AttemptId& id, Instant deadline, RequestKind kind)
+{
+    LedgerEntry& entry = m_entries[id];
+    entry.id = id;
+    entry.kind = kind;
+    entry.deadline = deadline;
+    entry.keepUntil = deadline + holdFor(kind) + m_options.clockSlack;
+    return entry;
+}
+
+LedgerEntry& CallLedger::insert(const CallRequest& request, RequestKind kind)
+{
+    LedgerEntry& entry = addEntry(request.id, request.deadline, kind);
+    entry.tenant = request.tenant;
+    entry.depth = request.depth;
+    entry.retryTokens = request.retryTokens;
+    entry.retryTokensLeft = request.retryTokens;
+    m_calls[request.id.call].queued = request.id.attempt;
+    return entry;
+}
+
+void CallLedger::insertTombstone(
+    Instant now, const AttemptId& id, Instant deadline, RequestKind kind, RefusalReason reason)
+{
+    if (!hasRoom() || m_tombstones >= m_options.maximumTombstones) {
+        m_refused.insert(now, id, deadline + m_options.clockSlack);
+        return;
+    }
+    LedgerEntry& entry = addEntry(id, deadline, kind);
+    entry.state = AttemptRefused { .reason = reason };
+    m_expiry.emplace(entry.keepUntil, id);
+    m_tombstones++;
+}
+
+void CallLedger::addRequester(LedgerEntry& entry, Requester requester)
+{
+    if (std::ranges::find(entry.waiting, requester) != entry.waiting.end())
+        return;
+    entry.waiting.push_back(requester);
+    m_attemptsByLink[requester.link].insert(entry.id);
+}
+
+std::vector<AttemptId> CallLedger::removeLink(LinkId link)
+{
+    std::vector<AttemptId> abandoned;
+    auto attempts = m_attemptsByLink.extract(link);
+    if (attempts.empty())
+        return abandoned;
+    for (auto& id : attempts.mapped()) {
+        LedgerEntry& entry = m_entries.at(id);
+        std::erase_if(entry.waiting, [&](auto& it) { return it.link == link; });
+        if (entry.waiting.empty())
+            abandoned.push_back(id);
+    }
+    // The set's order differs between libraries; callers rely on the same order in every run.
+    std::ranges::sort(abandoned);
+    return abandoned;
+}
+
+void CallLedger::start(LedgerEntry& entry, Instant now)
+{
+    entry.state = AttemptRunning { .startedAt = now };
+    CallIndex& index = m_calls[entry.id.call];
+    index.started = entry.id.attempt;
+    index.running = entry.id.attempt;
+    if (index.queued == entry.id.attempt)
+        index.queued.reset();
+}
+
+// Makes a live entry evictable and hands out those who wait for it.
+std::vector<Requester> CallLedger::settle(LedgerEntry& entry)
+{
+    m_expiry.emplace(entry.keepUntil, entry.id);
+    auto it = m_calls.find(entry.id.call);
+    if (it != m_calls.end() && it->second.running == entry.id.attempt)
+        it->second.running.reset();
+    for (auto& requester : entry.waiting) {
+        auto attempts = m_attemptsByLink.find(requester.link);
+        if (attempts == m_attemptsByLink.end())
+            continue;
+        attempts->second.erase(entry.id);
+        if (attempts->second.empty())
+            m_attemptsByLink.erase(attempts);
+    }
+    return std::exchange(entry.waiting, {});
+}
+
+std::vector<Requester> CallLedger::finish(LedgerEntry& entry, HttpResponse answer)
+{
+    auto waiting = settle(entry);
+    holdAnswer(entry, std::move(answer));
+    return waiting;
+}
+
+std::vector<Requester> CallLedger::lose(LedgerEntry& entry, LossReason reason)
+{
+    entry.state = AttemptLost { .reason = reason };
+    return settle(entry);
+}
+
+std::vector<Requester> CallLedger::refuse(Instant now, LedgerEntry& entry, RefusalReason reason)
+{
+    entry.state = AttemptRefused { .reason = reason };
+    auto waiting = settle(entry);
+    dropFromIndex(entry.id);
+    m_tombstones++;
+    if (m_tombstones > m_options.maximumTombstones) {
+        m_refused.insert(now, entry.id, entry.deadline + m_options.clockSlack);
+        erase(AttemptId(entry.id));
+    }
+    return waiting;
+}
+
+void CallLedger::dropFromIndex(const AttemptId& id)
+{
+    auto it = m_calls.find(id.call);
+    if (it == m_calls.end())
+        return;
+    for (auto* attempt : { &it->second.queued, &it->second.started, &it->second.running }) {
+        if (*attempt == id.attempt)
+            attempt->reset();
+    }
+    if (it->second.isEmpty())
+        m_calls.erase(it);
+}
+
+void CallLedger::keepLonger(LedgerEntry& entry, Instant until)
+{
+    if (until <= entry.keepUntil)
+        return;
+    if (m_expiry.erase({ entry.keepUntil, entry.id }))
+        m_expiry.emplace(until, entry.id);
+    entry.keepUntil = until;
+}
+
+void CallLedger::holdAnswer(LedgerEntry& entry, HttpResponse answer)
+{
+    m_heldBytes += countBytes(answer);
+    auto position = m_held.insert(m_held.end(), entry.id);
+    entry.state = AttemptFinished {
+        .answer = std::move(answer),
+        .retryTokensUsed = entry.retryTokens - entry.retryTokensLeft,
+        .heldPosition = position,
+    };
+    dropOldestAnswers();
+}
+
+// Keeps the newest answer in any case: those who wait for it have not been replied to yet.
+void CallLedger::dropOldestAnswers()
+{
+    while (m_heldBytes > m_options.maximumHeldBytes && m_held.size() > 1) {
+        LedgerEntry& oldest = m_entries.at(m_held.front());
+        releaseAnswer(oldest);
+        oldest.state = AttemptLost { .reason = LossReason::AnswerDropped };
+    }
+}
+
+void CallLedger::releaseAnswer(LedgerEntry& entry)
+{
+    auto* finished = std::get_if<AttemptFinished>(&entry.state);
+    if (!finished)
+        return;
+    m_heldBytes -= countBytes(finished->answer);
+    m_held.erase(finished->heldPosition);
+}
+
+void CallLedger::erase(const AttemptId& id)
+{
+    auto it = m_entries.find(id);
+    LedgerEntry& entry = it->second;
+    releaseAnswer(entry);
+    if (entry.is<AttemptRefused>())
+        m_tombstones--;
+    m_expiry.erase({ entry.keepUntil, id });
+    dropFromIndex(id);
+    m_entries.erase(it);
+}
+
+void CallLedger::evictExpired(Instant now)
+{
+    while (!m_expiry.empty() && m_expiry.begin()->first < now) {
+        AttemptId id = m_expiry.begin()->second;
+        LedgerEntry& entry = m_entries.at(id);
+        if (entry.is<AttemptFinished>() || entry.is<AttemptLost>())
+            m_evictedDeadline = std::max(m_evictedDeadline, entry.deadline);
+        erase(id);
+    }
+}
+
+} // namespace Berylport
--- /dev/null
+++ b/Source/Admission/CallLedger.h
@@ -0,0 +1,179 @@
+// The memory of attempts beside one target. It makes "not run" true for ever and keeps a request from running twice.
+#pragma once
+
+#include "Admission/RefusedFilter.h"
+#include "Base/Base.h"
+
+#include <list>
+#include <set>
+#include <unordered_map>
+#include <unordered_set>
+#include <variant>
+#include <vector>
+
+namespace Berylport {
+
+struct LedgerOptions {
+    size_t maximumEntries { 65'536 };
+    // Refusals above this number are kept in the filter, so that an overload, which refuses thousands of calls a
+    // second, cannot fill the ledger and cause refusals for another hold time after it has ended.
+    size_t maximumTombstones { 16'384 };
+    size_t maximumHeldBytes { 64 * 1024 * 1024 };
+    Duration hold { std::chrono::seconds(30) };
+    Duration patientHold { std::chrono::minutes(10) };
+    // The link translates the deadline of a request and of a later query apart; they may differ by its clock error.
+    Duration clockSlack { std::chrono::seconds(1) };
+    // Deadlines further ahead are not believed: an attempt must not be remembered, or awaited, for days.
+    Duration maximumLifetime { std::chrono::hours(1) };
+};
+
+// Somebody who gets one reply when an attempt ends. The id asked for differs from the attempt's own when a further
+// attempt of a non-idempotent call has joined it.
+struct Requester {
+    LinkId link;
+    AttemptId asked;
+    bool operator==(const Requester&) const = default;
+};
+
+struct AttemptQueued { };
+
+struct AttemptRunning {
+    Instant startedAt;
+    bool isCancelSent { false };
+};
+
+struct AttemptFinished {
+    HttpResponse answer;
+    uint32_t retryTokensUsed { 0 };
+    std::list<AttemptId>::iterator heldPosition;
+};
+
+struct AttemptRefused {
+    RefusalReason reason { RefusalReason::QueueFull };
+};
+
+struct AttemptLost {
+    LossReason reason { LossReason::TargetClosed };
+};
+
+// A further attempt of a non-idempotent call; its fate is that of the original.
+struct AttemptJoined {
+    AttemptId original;
+};
+
+using AttemptState
+    = std::variant<AttemptQueued, AttemptRunning, AttemptFinished, AttemptRefused, AttemptLost, AttemptJoined>;
+
+struct LedgerEntry {
+    AttemptId id;
+    RequestKind kind { RequestKind::AtMostOnce };
+    TenantName tenant;
+    Instant deadline;
+    // Not evicted before this time; always later than deadline plus hold.
+    Instant keepUntil;
+    uint32_t depth { 0 };
+    uint32_t retryTokens { 0 };
+    // Part of retryTokens that no nested call has taken.
+    uint32_t retryTokensLeft { 0 };
+    AttemptState state;
+    std::vector<Requester> waiting;
+
+    template <typename State> bool is() const { return std::holds_alternative<State>(state); }
+    bool isLive() const { return is<AttemptQueued>() || is<AttemptRunning>(); }
+};
+
+enum class LedgerMatch : uint8_t {
+    // Never seen, and it would be remembered.
+    Unknown,
+    Known,
+    // A tombstone stands for it, alone or in the filter.
+    RefusedBefore,
+    // It may have been known once and evicted since, or cannot be remembered. Its outcome is unknown.
+    Forgotten,
+};
+
+struct LedgerLookup {
+    LedgerMatch match { LedgerMatch::Unknown };
+    // Set for Known only; never a joined entry. Valid until the next change of the ledger.
+    LedgerEntry* entry { nullptr };
+};
+
+class CallLedger {
+public:
+    explicit CallLedger(LedgerOptions options)
+        : m_options(options)
+    {
+    }
+
+    // Looks an attempt up for a request (kind given) or a query (kind unknown). A further attempt of a call that may
+    // run only once is joined to the earlier one. holdKind decides the hold time of an attempt that is not found.
+    LedgerLookup lookUp(
+        Instant now, const AttemptId&, Instant deadline, std::optional<RequestKind> kind, RequestKind holdKind);
+    LedgerEntry* find(const AttemptId&);
+    // The running attempt of the call, if any.
+    LedgerEntry* findRunning(const CallId&);
+    const LedgerEntry* findRunning(const CallId&) const;
+
+    bool hasRoom() const { return m_entries.size() < m_options.maximumEntries; }
+    // Adds a queued attempt. There must be room.
+    LedgerEntry& insert(const CallRequest&, RequestKind);
+    void insertTombstone(Instant now, const AttemptId&, Instant deadline, RequestKind, RefusalReason);
+    void addRequester(LedgerEntry&, Requester);
+    // Forgets the link as a requester; returns the attempts that nobody waits for any more.
+    std::vector<AttemptId> removeLink(LinkId);
+
+    // These end or move an attempt; those that end it return who waits for its reply. A refused entry may be
+    // moved to the filter, so the reference is not valid afterwards.
+    void start(LedgerEntry&, Instant now);
+    std::vector<Requester> finish(LedgerEntry&, HttpResponse);
+    std::vector<Requester> refuse(Instant now, LedgerEntry&, RefusalReason);
+    std::vector<Requester> lose(LedgerEntry&, LossReason);
+
+    void evictExpired(Instant now);
+
+    size_t size() const { return m_entries.size(); }
+    size_t heldBytes() const { return m_heldBytes; }
+    size_t tombstones() const { return m_tombstones; }
+
+private:
+    // What is known about all attempts of a call; unset numbers are absent.
+    struct CallIndex {
+        std::optional<uint32_t> queued;
+        // Last attempt that was started and may have run.
+        std::optional<uint32_t> started;
+        std::optional<uint32_t> running;
+        bool isEmpty() const { return !queued && !started && !running; }
+    };
+
+    Duration holdFor(RequestKind) const;
+    bool isBeyondMemory(Instant now, Instant deadline, RequestKind) const;
+    LedgerEntry* findOriginal(const CallId&, std::optional<RequestKind>);
+    LedgerLookup resolve(LedgerEntry&);
+    LedgerEntry& addEntry(const AttemptId&, Instant deadline, RequestKind);
+    LedgerLookup join(const AttemptId&, Instant deadline, LedgerEntry& original);
+    void dropFromIndex(const AttemptId&);
+    std::vector<Requester> settle(LedgerEntry&);
+    void keepLonger(LedgerEntry&, Instant until);
+    void holdAnswer(LedgerEntry&, HttpResponse);
+    void dropOldestAnswers();
+    void releaseAnswer(LedgerEntry&);
+    void erase(const AttemptId&);
+
+    LedgerOptions m_options;
+    std::unordered_map<AttemptId, LedgerEntry> m_entries;
+    std::unordered_map<CallId, CallIndex> m_calls;
+    std::unordered_map<LinkId, std::unordered_set<AttemptId>> m_attemptsByLink;
+    // Every entry that is neither queued nor running, by keepUntil.
+    std::set<std::pair<Instant, AttemptId>> m_expiry;
+    // Finished entries with an answer, oldest first.
+    std::list<AttemptId> m_held;
+    size_t m_heldBytes { 0 };
+    size_t m_tombstones { 0 };
+    // Refusals that have no entry. None of them was ever started.
+    RefusedFilter m_refused;
+    // Latest deadline among evicted attempts that had been started. Guards queries when a service's kind, and with it
+    // the hold time, changes.
+    Instant m_evictedDeadline { Instant::min() + std::chrono::hours(1) };
+};
+
+} // namespace Berylport
--- a/Source/Base/Identifiers.h
+++ b/Source/Base/Identifiers.h
@@ -48,6 +48,13 @@
     auto operator<=>(const AttemptId&) const = default;
 };
 
+// Numbers a peer link within one process. Zero is the node itself.
+struct LinkId {
+    uint64_t value { 0 };
+    bool isLocal() const { return !value; }
+    auto operator<=>(const LinkId&) const = default;
+};
+
 // An IP number and a port. Names are never resolved.
 struct Endpoint {
     std::string address;
@@ -75,6 +82,10 @@
     size_t operator()(const Berylport::NodeId& id) const { return std::hash<uint64_t>()(id.value); }
 };
 
+template <> struct std::hash<Berylport::LinkId> {
+    size_t operator()(const Berylport::LinkId& id) const { return std::hash<uint64_t>()(id.value); }
+};
+
 template <> struct std::hash<Berylport::CallId> {
     size_t operator()(const Berylport::CallId& id) const
     {
