--- a/Source/Admission/AdmissionAction.h
+++ b/Source/Admission/AdmissionAction.h
@@ -12,11 +12,11 @@
 // targetNotReached; the slot stays in use until then.
 struct StartOnTarget {
     AttemptId id;
-    ServiceName service;
-    TenantName tenant;
+    ServiceName service {};
+    TenantName tenant {};
     RequestKind kind { RequestKind::AtMostOnce };
-    Instant deadline;
-    HttpRequest http;
+    Instant deadline {};
+    HttpRequest http {};
 };
 
 // Closes the target connection of a running attempt; the node then reports targetLost.
