--- /dev/null
+++ b/Source/Routing/TargetSelector.cpp
@@ -0,0 +1,471 @@
+// Bookkeeping of usable targets, policies, ejection and readmission.
+#include "Routing/TargetSelector.h"
+
+#include "Base/Overloaded.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace Berylport {
+
+namespace {
+
+// Share of the newest report in the mean load of the service.
+constexpr double meanLoadSmoothing = 0.05;
+// Random draws before the list is searched in order; only reached when nearly all of a long list is excluded.
+constexpr int maximumDraws = 8;
+
+} // namespace
+
+std::string_view toText(const SelectionPolicy& policy)
+{
+    return std::visit(Overloaded {
+                          [](const FreshLoad&) { return std::string_view("fresh-load"); },
+                          [](const RandomChoice&) { return std::string_view("random"); },
+                          [](const RoundRobin&) { return std::string_view("round-robin"); },
+                          [](const LeastReported&) { return std::string_view("least-reported"); },
+                          [](const TwoChoices&) { return std::string_view("two-choices"); },
+                      },
+        policy);
+}
+
+TargetSelector::TargetSelector(RoutingOptions options)
+    : m_options(std::move(options))
+{
+}
+
+TargetView TargetSelector::makeView(const TargetRecord& record) const
+{
+    TargetView view;
+    view.record = record;
+    if (record.region != m_options.region) {
+        view.group = ZoneGroup::Remote;
+    } else if (record.zone != m_options.zone) {
+        view.group = ZoneGroup::Region;
+        auto it = m_options.zoneRoundTrips.find(record.zone);
+        view.extraRoundTrip = it == m_options.zoneRoundTrips.end() ? m_options.otherZoneRoundTrip : it->second;
+    }
+    return view;
+}
+
+void TargetSelector::mergeRecord(TargetView& view, const TargetRecord& record, Instant now)
+{
+    auto fresh = makeView(record);
+    if (view.record.state != TargetState::Ready && record.state == TargetState::Ready)
+        view.rampStart = now;
+    view.record = record;
+    view.group = fresh.group;
+    view.extraRoundTrip = fresh.extraRoundTrip;
+}
+
+void TargetSelector::updateTargets(std::span<const TargetRecord> records, Instant now)
+{
+    bool isFirst = m_views.empty();
+    std::vector<TargetView> views;
+    views.reserve(records.size());
+    std::unordered_map<TargetId, uint32_t> index;
+    for (const auto& record : records) {
+        if (!index.emplace(record.id, views.size()).second)
+            continue;
+        if (auto* known = find(record.id)) {
+            mergeRecord(*known, record, now);
+            views.push_back(std::move(*known));
+            continue;
+        }
+        views.push_back(makeView(record));
+        if (!isFirst)
+            views.back().rampStart = record.firstSeen;
+    }
+    m_views = std::move(views);
+    m_index = std::move(index);
+    rebuildGroups(now);
+}
+
+void TargetSelector::rebuildGroups(Instant now)
+{
+    size_t alive = 0;
+    m_readyCount = 0;
+    m_ejectedCount = 0;
+    for (const auto& view : m_views) {
+        if (view.record.state != TargetState::Ready)
+            continue;
+        ++m_readyCount;
+        alive += !view.record.isSuspect;
+        m_ejectedCount += view.ejectedUntil.has_value();
+    }
+    m_usesSuspects = static_cast<double>(alive) < m_options.aliveShareForSuspects * static_cast<double>(m_readyCount);
+    fillGroups();
+    readmitAbovePanicThreshold(now);
+    useSuspectsIfNoneIsLeft();
+}
+
+void TargetSelector::fillGroups()
+{
+    for (auto& group : m_groups)
+        group.clear();
+    for (uint32_t n = 0; n < m_views.size(); ++n) {
+        m_views[n].position.reset();
+        if (isUsable(m_views[n]))
+            addToGroup(n);
+    }
+}
+
+// Ejection and suspicion together could leave nothing. Holds until the next update of the targets.
+void TargetSelector::useSuspectsIfNoneIsLeft()
+{
+    if (m_usesSuspects || !m_readyCount || usableCount())
+        return;
+    m_usesSuspects = true;
+    fillGroups();
+}
+
+bool TargetSelector::isUsable(const TargetView& view) const
+{
+    if (view.record.state != TargetState::Ready || view.ejectedUntil)
+        return false;
+    return m_usesSuspects || !view.record.isSuspect;
+}
+
+void TargetSelector::addToGroup(uint32_t index)
+{
+    auto& group = m_groups[static_cast<size_t>(m_views[index].group)];
+    m_views[index].position = static_cast<uint32_t>(group.size());
+    group.push_back(index);
+}
+
+void TargetSelector::removeFromGroup(uint32_t index)
+{
+    auto& view = m_views[index];
+    if (!view.position)
+        return;
+    auto& group = m_groups[static_cast<size_t>(view.group)];
+    group[*view.position] = group.back();
+    m_views[group.back()].position = view.position;
+    group.pop_back();
+    view.position.reset();
+}
+
+size_t TargetSelector::usableCount() const
+{
+    size_t count = 0;
+    for (const auto& group : m_groups)
+        count += group.size();
+    return count;
+}
+
+TargetView* TargetSelector::find(const TargetId& target)
+{
+    auto it = m_index.find(target);
+    return it == m_index.end() ? nullptr : &m_views[it->second];
+}
+
+const TargetView* TargetSelector::view(const TargetId& target) const
+{
+    auto it = m_index.find(target);
+    return it == m_index.end() ? nullptr : &m_views[it->second];
+}
+
+bool TargetSelector::isEjected(const TargetId& target) const
+{
+    const auto* known = view(target);
+    return known && known->ejectedUntil;
+}
+
+// Selection.
+
+std::optional<Selection> TargetSelector::select(Instant now, Random& random, std::span<const TargetId> excluded)
+{
+    readmitDue(now);
+    auto own = pick(m_groups[0], now, random, excluded);
+    auto ownTime = own ? expectedTime(*own, now) : std::nullopt;
+    if (own && !ownTime)
+        return makeSelection(*own);
+    auto other = pick(m_groups[1], now, random, excluded);
+    if (own && other)
+        return makeSelection(*expectedTime(*other, now) < *ownTime ? *other : *own);
+    if (own || other)
+        return makeSelection(own ? *own : *other);
+    if (auto remote = pick(m_groups[2], now, random, excluded))
+        return makeSelection(*remote);
+    return std::nullopt;
+}
+
+std::optional<double> TargetSelector::expectedTime(uint32_t index, Instant now) const
+{
+    const auto& view = m_views[index];
+    if (const auto* fresh = std::get_if<FreshLoad>(&m_options.policy))
+        return view.expectedMicroseconds(m_options, *fresh, m_meanLoad, now);
+    if (std::holds_alternative<RandomChoice>(m_options.policy) || std::holds_alternative<RoundRobin>(m_options.policy))
+        return std::nullopt;
+    // Stale policies believe the report as it stands.
+    auto serviceTime = std::max(view.load.serviceTime, Duration(1));
+    double slots = std::max<double>(view.record.slots, 1);
+    double waiting = std::max(0.0, view.reportedLoad() + 1 - slots) / slots;
+    return static_cast<double>(serviceTime.count()) * (1 + waiting) + static_cast<double>(view.extraRoundTrip.count());
+}
+
+std::optional<uint32_t> TargetSelector::pick(
+    const Indices& group, Instant now, Random& random, std::span<const TargetId> excluded)
+{
+    if (group.empty())
+        return std::nullopt;
+    auto reported = [&](uint32_t n) { return (m_views[n].reportedLoad() + 1) / m_views[n].weight(m_options, now); };
+    return std::visit(
+        Overloaded {
+            [&](const FreshLoad& policy) {
+                return pickBest(group, policy.candidates, random, excluded,
+                    [&](uint32_t n) { return m_views[n].expectedMicroseconds(m_options, policy, m_meanLoad, now); });
+            },
+            [&](const RandomChoice&) { return drawByWeight(group, now, random, excluded); },
+            [&](const RoundRobin&) { return pickInTurn(group, now, random, excluded); },
+            [&](const LeastReported& policy) { return pickBest(group, policy.candidates, random, excluded, reported); },
+            [&](const TwoChoices&) { return pickBest(group, 2, random, excluded, reported); },
+        },
+        m_options.policy);
+}
+
+std::optional<uint32_t> TargetSelector::pickInTurn(
+    const Indices& group, Instant now, Random& random, std::span<const TargetId> excluded)
+{
+    std::optional<uint32_t> last;
+    // Twice round at most, so that a group of targets in slow start still gives one.
+    for (size_t n = 0; n < 2 * group.size() && n < 2 * maximumDraws + excluded.size(); ++n) {
+        uint32_t index = group[m_turn++ % group.size()];
+        if (isExcluded(index, excluded))
+            continue;
+        last = index;
+        if (random.chance(m_views[index].weight(m_options, now)))
+            return last;
+    }
+    return last;
+}
+
+template <typename Score>
+std::optional<uint32_t> TargetSelector::pickBest(
+    const Indices& group, uint32_t candidates, Random& random, std::span<const TargetId> excluded, Score&& score)
+{
+    std::optional<uint32_t> best;
+    double bestScore = std::numeric_limits<double>::infinity();
+    auto consider = [&](uint32_t index) {
+        double value = score(index);
+        if (best && value >= bestScore)
+            return;
+        best = index;
+        bestScore = value;
+    };
+    if (group.size() <= candidates) {
+        // A random start breaks ties differently each time.
+        size_t start = random.below(group.size());
+        for (size_t n = 0; n < group.size(); ++n) {
+            uint32_t index = group[(start + n) % group.size()];
+            if (!isExcluded(index, excluded))
+                consider(index);
+        }
+        return best;
+    }
+    for (uint32_t n = 0; n < candidates; ++n) {
+        if (auto index = drawOne(group, random, excluded))
+            consider(*index);
+    }
+    return best;
+}
+
+std::optional<uint32_t> TargetSelector::drawOne(
+    const Indices& group, Random& random, std::span<const TargetId> excluded) const
+{
+    for (int n = 0; n < maximumDraws; ++n) {
+        uint32_t index = group[random.below(group.size())];
+        if (!isExcluded(index, excluded))
+            return index;
+    }
+    for (uint32_t index : group) {
+        if (!isExcluded(index, excluded))
+            return index;
+    }
+    return std::nullopt;
+}
+
+std::optional<uint32_t> TargetSelector::drawByWeight(
+    const Indices& group, Instant now, Random& random, std::span<const TargetId> excluded) const
+{
+    std::optional<uint32_t> last;
+    for (int n = 0; n < maximumDraws; ++n) {
+        last = drawOne(group, random, excluded);
+        if (!last || random.chance(m_views[*last].weight(m_options, now)))
+            return last;
+    }
+    return last;
+}
+
+bool TargetSelector::isExcluded(uint32_t index, std::span<const TargetId> excluded) const
+{
+    return std::find(excluded.begin(), excluded.end(), m_views[index].record.id) != excluded.end();
+}
+
+Selection TargetSelector::makeSelection(uint32_t index) const
+{
+    const auto& view = m_views[index];
+    return { .target = view.record.id, .group = view.group, .extraRoundTrip = view.extraRoundTrip };
+}
+
+// Results of attempts.
+
+void TargetSelector::noteSent(const TargetId& target, Instant)
+{
+    if (auto* view = find(target)) {
+        ++view->outstanding;
+        ++view->sentSinceReport;
+    }
+}
+
+void TargetSelector::finishOne(TargetView& view)
+{
+    if (view.outstanding)
+        --view.outstanding;
+}
+
+void TargetSelector::noteLoad(TargetView& view, const LoadReport& load, Instant now)
+{
+    view.takeReport(load, now);
+    m_meanLoad += meanLoadSmoothing * (view.reportedLoad() - m_meanLoad);
+}
+
+void TargetSelector::noteReply(
+    const TargetId& target, const LoadReport& load, Duration latency, bool hasFailed, Instant now)
+{
+    auto* view = find(target);
+    if (!view)
+        return;
+    finishOne(*view);
+    noteLoad(*view, load, now);
+    if (hasFailed) {
+        addFailure(*view, now);
+        return;
+    }
+    auto local = std::max(latency - view->extraRoundTrip, Duration::zero());
+    m_latencies.add(local);
+    view->addLatency(m_options, local);
+    ejectIfOutlier(*view, now);
+}
+
+void TargetSelector::noteRefused(const TargetId& target, const LoadReport& load, Instant now)
+{
+    auto* view = find(target);
+    if (!view)
+        return;
+    finishOne(*view);
+    noteLoad(*view, load, now);
+}
+
+void TargetSelector::noteLost(const TargetId& target, Instant now)
+{
+    auto* view = find(target);
+    if (!view)
+        return;
+    finishOne(*view);
+    addFailure(*view, now);
+}
+
+void TargetSelector::noteNotSent(const TargetId& target, Instant now) { noteLost(target, now); }
+
+void TargetSelector::noteAbandoned(const TargetId& target, Duration waited, Instant now)
+{
+    auto* view = find(target);
+    if (!view)
+        return;
+    finishOne(*view);
+    auto local = waited - view->extraRoundTrip;
+    if (local <= view->latency)
+        return;
+    view->addLatency(m_options, local);
+    ejectIfOutlier(*view, now);
+}
+
+void TargetSelector::addFailure(TargetView& view, Instant now)
+{
+    const auto& ejection = m_options.ejection;
+    auto penalty
+        = Duration(std::llround(ejection.failurePenaltyFactor * static_cast<double>(m_latencies.median().count())));
+    view.addLatency(m_options, std::max(penalty, ejection.failurePenaltyFloor));
+    ejectIfOutlier(view, now);
+}
+
+// Ejection.
+
+bool TargetSelector::isOutlier(const TargetView& view) const
+{
+    const auto& ejection = m_options.ejection;
+    if (!m_latencies.isKnown() || view.answers < ejection.minimumAnswers)
+        return false;
+    auto median = m_latencies.median();
+    return static_cast<double>(view.latency.count()) > ejection.latencyFactor * static_cast<double>(median.count())
+        && view.latency > median + ejection.latencyMargin;
+}
+
+bool TargetSelector::mayEjectOneMore() const
+{
+    auto limit = m_options.ejection.maximumShare * static_cast<double>(m_readyCount);
+    return static_cast<double>(m_ejectedCount + 1) <= limit;
+}
+
+void TargetSelector::ejectIfOutlier(TargetView& view, Instant now)
+{
+    if (view.position && isOutlier(view) && mayEjectOneMore())
+        eject(view, now);
+}
+
+void TargetSelector::eject(TargetView& view, Instant now)
+{
+    const auto& ejection = m_options.ejection;
+    auto forgiven = (now - view.lastEjection) / ejection.forgiveAfter;
+    view.ejections -= static_cast<uint32_t>(std::min<int64_t>(forgiven, view.ejections));
+    auto seconds = std::min(std::exp2(view.ejections) * static_cast<double>(ejection.baseTime.count()),
+        static_cast<double>(ejection.maximumTime.count()));
+    double jitter = 1 + ejection.jitterShare * (2 * m_jitter.unit() - 1);
+    ++view.ejections;
+    view.lastEjection = now;
+    view.ejectedUntil = now + Duration(std::llround(seconds * jitter));
+    m_readmissions.push({ *view.ejectedUntil, view.record.id });
+    ++m_ejectedCount;
+    removeFromGroup(m_index.at(view.record.id));
+    useSuspectsIfNoneIsLeft();
+}
+
+void TargetSelector::readmitDue(Instant now)
+{
+    while (!m_readmissions.empty() && m_readmissions.top().time <= now) {
+        auto due = m_readmissions.top();
+        m_readmissions.pop();
+        auto* view = find(due.target);
+        // The target may have been removed, or readmitted and ejected again, since.
+        if (view && view->ejectedUntil == due.time)
+            readmit(*view, now);
+    }
+}
+
+void TargetSelector::readmit(TargetView& view, Instant now)
+{
+    view.ejectedUntil.reset();
+    view.rampStart = now;
+    // It is judged by new answers only.
+    view.answers = 0;
+    view.latency = {};
+    if (view.record.state == TargetState::Ready)
+        --m_ejectedCount;
+    if (isUsable(view))
+        addToGroup(m_index.at(view.record.id));
+}
+
+void TargetSelector::readmitAbovePanicThreshold(Instant now)
+{
+    auto limit = m_options.ejection.maximumShare * static_cast<double>(m_readyCount);
+    for (auto& view : m_views) {
+        if (static_cast<double>(m_ejectedCount) <= limit)
+            return;
+        if (view.ejectedUntil && view.record.state == TargetState::Ready)
+            readmit(view, now);
+    }
+}
+
+} // namespace Berylport
--- /dev/null
+++ b/tests/Routing/TargetSelectorTest.cpp
@@ -0,0 +1,350 @@
+// Target selection: states, zones, slow start, ejection and policies.
+#include "Routing/Routing.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <map>
+
+namespace Berylport {
+namespace {
+
+using namespace std::chrono_literals;
+
+const ServiceName service { "slotdesk" };
+
+Instant at(Duration sinceStart) { return Instant(sinceStart); }
+
+TargetRecord makeTarget(uint64_t node, std::string_view zone = "kandy-a", std::string_view region = "central")
+{
+    return {
+        .id = { NodeId { node }, service },
+        .zone = ZoneName { zone },
+        .region = RegionName { region },
+        .state = TargetState::Ready,
+        .slots = 10,
+        .firstSeen = at(0s),
+    };
+}
+
+RoutingOptions makeOptions(SelectionPolicy policy = FreshLoad {})
+{
+    return {
+        .zone = ZoneName { "kandy-a" },
+        .region = RegionName { "central" },
+        .policy = policy,
+        .zoneRoundTrips = {},
+        .ejection = {},
+    };
+}
+
+std::vector<TargetRecord> makeTargets(uint64_t count)
+{
+    std::vector<TargetRecord> targets;
+    for (uint64_t n = 1; n <= count; ++n)
+        targets.push_back(makeTarget(n));
+    return targets;
+}
+
+LoadReport makeLoad(uint16_t running, uint16_t queued, Duration serviceTime = 10ms)
+{
+    return { .slots = 10, .running = running, .queued = queued, .serviceTime = serviceTime };
+}
+
+void answer(TargetSelector& selector, uint64_t node, Duration latency, Instant now, bool hasFailed = false)
+{
+    TargetId target { NodeId { node }, service };
+    selector.noteSent(target, now);
+    selector.noteReply(target, makeLoad(1, 0), latency, hasFailed, now);
+}
+
+std::map<uint64_t, int> countSelections(TargetSelector& selector, Instant now, int draws = 1000)
+{
+    Random random(7);
+    std::map<uint64_t, int> counts;
+    for (int n = 0; n < draws; ++n) {
+        if (auto selection = selector.select(now, random, {}))
+            ++counts[selection->target.node.value];
+    }
+    return counts;
+}
+
+std::vector<SelectionPolicy> allPolicies()
+{
+    return { FreshLoad {}, RandomChoice {}, RoundRobin {}, LeastReported {}, TwoChoices {} };
+}
+
+// Guards against work sent to targets that announced that they take none.
+TEST(TargetSelector, NeverChoosesTargetsThatAreNotReady)
+{
+    for (const auto& policy : allPolicies()) {
+        TargetSelector selector(makeOptions(policy));
+        auto targets = makeTargets(4);
+        targets[0].state = TargetState::Starting;
+        targets[1].state = TargetState::Draining;
+        targets[2].state = TargetState::Down;
+        selector.updateTargets(targets, at(0s));
+        auto counts = countSelections(selector, at(1s));
+        EXPECT_EQ(counts.size(), 1u) << toText(policy);
+        EXPECT_EQ(counts[4], 1000) << toText(policy);
+    }
+}
+
+// Guards against a retry that goes to the target that has just failed.
+TEST(TargetSelector, LeavesOutExcludedTargets)
+{
+    for (const auto& policy : allPolicies()) {
+        TargetSelector selector(makeOptions(policy));
+        auto targets = makeTargets(20);
+        selector.updateTargets(targets, at(0s));
+        std::vector<TargetId> excluded;
+        Random random(3);
+        while (auto selection = selector.select(at(1s), random, excluded)) {
+            EXPECT_EQ(std::count(excluded.begin(), excluded.end(), selection->target), 0) << toText(policy);
+            excluded.push_back(selection->target);
+        }
+        EXPECT_EQ(excluded.size(), 20u) << toText(policy);
+    }
+}
+
+// Guards against network delay that no load justifies.
+TEST(TargetSelector, PrefersTheOwnZone)
+{
+    for (const auto& policy : allPolicies()) {
+        TargetSelector selector(makeOptions(policy));
+        std::vector targets { makeTarget(1), makeTarget(2, "colombo-a"), makeTarget(3, "muscat-a", "muscat") };
+        selector.updateTargets(targets, at(0s));
+        EXPECT_EQ(countSelections(selector, at(1s))[1], 1000) << toText(policy);
+    }
+}
+
+// Guards against calls that queue in the own zone while another zone is idle.
+TEST(TargetSelector, SpillsWhenTheOwnZoneIsSlowerThanTheExtraRoundTrip)
+{
+    TargetSelector selector(makeOptions());
+    std::vector targets { makeTarget(1), makeTarget(2, "colombo-a") };
+    selector.updateTargets(targets, at(0s));
+    selector.noteRefused(targets[0].id, makeLoad(10, 9), at(1s));
+    selector.noteRefused(targets[1].id, makeLoad(0, 0), at(1s));
+    EXPECT_EQ(countSelections(selector, at(1s))[2], 1000);
+}
+
+// Guards against calls that cross regions while the own region has a target.
+TEST(TargetSelector, CrossesRegionsOnlyWhenNothingElseIsThere)
+{
+    TargetSelector selector(makeOptions());
+    std::vector targets { makeTarget(1, "colombo-a"), makeTarget(2, "muscat-a", "muscat") };
+    selector.updateTargets(targets, at(0s));
+    selector.noteRefused(targets[0].id, makeLoad(10, 50), at(1s));
+    EXPECT_EQ(countSelections(selector, at(1s))[1], 1000);
+    targets[0].state = TargetState::Down;
+    selector.updateTargets(targets, at(2s));
+    EXPECT_EQ(countSelections(selector, at(2s))[2], 1000);
+}
+
+// Guards against a cold target that gets a full share at once.
+TEST(TargetSelector, NewTargetsGetTheirShareOverTheSlowStart)
+{
+    for (const auto& policy : { SelectionPolicy(RandomChoice {}), SelectionPolicy(RoundRobin {}) }) {
+        TargetSelector selector(makeOptions(policy));
+        auto targets = makeTargets(3);
+        selector.updateTargets(targets, at(0s));
+        targets.push_back(makeTarget(4));
+        targets.back().firstSeen = at(100s);
+        selector.updateTargets(targets, at(100s));
+        EXPECT_LT(countSelections(selector, at(101s))[4], 80) << toText(policy);
+        EXPECT_GT(countSelections(selector, at(111s))[4], 200) << toText(policy);
+    }
+}
+
+// Guards against tail latency from one slow target.
+TEST(TargetSelector, EjectsStragglers)
+{
+    TargetSelector selector(makeOptions(RandomChoice {}));
+    selector.updateTargets(makeTargets(4), at(0s));
+    for (int n = 0; n < 20; ++n) {
+        for (uint64_t node = 1; node <= 3; ++node)
+            answer(selector, node, 10ms, at(1s));
+        answer(selector, 4, 200ms, at(1s));
+    }
+    EXPECT_TRUE(selector.isEjected({ NodeId { 4 }, service }));
+    EXPECT_EQ(countSelections(selector, at(1s)).count(4), 0u);
+}
+
+// Guards against a target that fails within a microsecond and therefore looks idle and fast.
+TEST(TargetSelector, EjectsFastFailers)
+{
+    TargetSelector selector(makeOptions());
+    selector.updateTargets(makeTargets(4), at(0s));
+    for (int n = 0; n < 20; ++n) {
+        for (uint64_t node = 1; node <= 3; ++node)
+            answer(selector, node, 10ms, at(1s));
+        answer(selector, 4, 1us, at(1s), true);
+    }
+    EXPECT_TRUE(selector.isEjected({ NodeId { 4 }, service }));
+}
+
+// Guards against a service that ejects itself out of capacity.
+TEST(TargetSelector, EjectsAtMostHalf)
+{
+    TargetSelector selector(makeOptions());
+    selector.updateTargets(makeTargets(5), at(0s));
+    for (int n = 0; n < 30; ++n)
+        answer(selector, 1, 10ms, at(1s));
+    for (int n = 0; n < 30; ++n) {
+        for (uint64_t node = 2; node <= 5; ++node)
+            answer(selector, node, 1us, at(1s), true);
+    }
+    EXPECT_EQ(selector.ejectedCount(), 2u);
+    EXPECT_EQ(selector.usableCount(), 3u);
+}
+
+// Guards against an ejection that outlives the targets that made room for it.
+TEST(TargetSelector, ReadmitsWhenTooFewTargetsAreLeft)
+{
+    TargetSelector selector(makeOptions());
+    auto targets = makeTargets(4);
+    selector.updateTargets(targets, at(0s));
+    for (int n = 0; n < 30; ++n) {
+        for (uint64_t node = 1; node <= 2; ++node)
+            answer(selector, node, 10ms, at(1s));
+        for (uint64_t node = 3; node <= 4; ++node)
+            answer(selector, node, 1us, at(1s), true);
+    }
+    ASSERT_EQ(selector.ejectedCount(), 2u);
+    targets[0].state = TargetState::Down;
+    targets[1].state = TargetState::Down;
+    selector.updateTargets(targets, at(1s));
+    EXPECT_EQ(selector.ejectedCount(), 1u);
+    EXPECT_EQ(selector.usableCount(), 1u);
+}
+
+Duration measureEjection(TargetSelector& selector, Instant start)
+{
+    for (int n = 0; n < 30; ++n) {
+        answer(selector, 1, 10ms, start);
+        answer(selector, 2, 10ms, start);
+        answer(selector, 3, 1us, start, true);
+    }
+    Random random(1);
+    auto now = start;
+    while (selector.isEjected({ NodeId { 3 }, service })) {
+        now += 10ms;
+        selector.select(now, random, {});
+    }
+    return now - start;
+}
+
+// Guards against a target that stays out for ever, and against one that flaps at a constant period.
+TEST(TargetSelector, ReadmitsAfterExponentialTimes)
+{
+    TargetSelector selector(makeOptions());
+    selector.updateTargets(makeTargets(3), at(0s));
+    auto first = measureEjection(selector, at(1s));
+    auto second = measureEjection(selector, at(5s));
+    auto third = measureEjection(selector, at(12s));
+    EXPECT_GE(first, 1500ms);
+    EXPECT_LE(first, 2510ms);
+    EXPECT_GE(second, 3000ms);
+    EXPECT_LE(second, 5010ms);
+    EXPECT_GE(third, 6000ms);
+    EXPECT_LE(third, 10010ms);
+}
+
+// Guards against a service without targets after a false suspicion of a whole zone.
+TEST(TargetSelector, UsesSuspectsWhenFewerThanHalfAreBelievedAlive)
+{
+    TargetSelector selector(makeOptions());
+    auto targets = makeTargets(4);
+    targets[0].isSuspect = true;
+    targets[1].isSuspect = true;
+    selector.updateTargets(targets, at(0s));
+    EXPECT_EQ(selector.usableCount(), 2u);
+    targets[2].isSuspect = true;
+    selector.updateTargets(targets, at(1s));
+    EXPECT_EQ(selector.usableCount(), 4u);
+}
+
+// Guards against herding: a sender that believes one idle report sends everything there until the next report.
+TEST(TargetSelector, FreshLoadCountsItsOwnCallsSinceTheReport)
+{
+    TargetSelector selector(makeOptions());
+    auto targets = makeTargets(3);
+    selector.updateTargets(targets, at(0s));
+    selector.noteRefused(targets[0].id, makeLoad(0, 0), at(1s));
+    selector.noteRefused(targets[1].id, makeLoad(4, 0), at(1s));
+    selector.noteRefused(targets[2].id, makeLoad(4, 0), at(1s));
+    Random random(5);
+    std::map<uint64_t, int> counts;
+    for (int n = 0; n < 30; ++n) {
+        auto target = selector.select(at(1s), random, {})->target;
+        selector.noteSent(target, at(1s));
+        ++counts[target.node.value];
+    }
+    EXPECT_LE(counts[1], 14);
+    EXPECT_GE(counts[2], 8);
+    EXPECT_GE(counts[3], 8);
+}
+
+// Guards against an old report that keeps a target idle or busy for ever.
+TEST(TargetSelector, FreshLoadForgetsOldReports)
+{
+    TargetSelector selector(makeOptions());
+    auto targets = makeTargets(2);
+    selector.updateTargets(targets, at(0s));
+    selector.noteRefused(targets[0].id, makeLoad(10, 20), at(1s));
+    selector.noteRefused(targets[1].id, makeLoad(1, 0), at(1s));
+    EXPECT_EQ(countSelections(selector, at(1s)).count(1), 0u);
+    auto later = countSelections(selector, at(10s));
+    EXPECT_GT(later[1], 300);
+    EXPECT_GT(later[2], 300);
+}
+
+// Guards against dangling positions after any order of updates, results and readmissions.
+RC_GTEST_PROP(TargetSelectorProperty, SelectsOnlyUsableTargetsAndNeverEjectsMoreThanHalf, ())
+{
+    const auto seed = *rc::gen::arbitrary<uint64_t>();
+    Random random(seed);
+    auto policies = allPolicies();
+    TargetSelector selector(makeOptions(policies[random.below(policies.size())]));
+    std::vector<TargetRecord> targets;
+    Instant now = at(0s);
+    for (int n = 0; n < 300; ++n) {
+        now += Duration(random.below(500'000));
+        if (!n || random.chance(0.1)) {
+            targets = makeTargets(1 + random.below(12));
+            for (auto& target : targets) {
+                target.state = static_cast<TargetState>(random.chance(0.7) ? 1 : random.below(4));
+                target.isSuspect = random.chance(0.2);
+                target.zone = ZoneName { random.chance(0.5) ? "kandy-a" : "galle-a" };
+            }
+            selector.updateTargets(targets, now);
+        }
+        auto selection = selector.select(now, random, {});
+        RC_ASSERT(selection.has_value() == (selector.usableCount() > 0));
+        if (!selection)
+            continue;
+        auto it = std::find_if(
+            targets.begin(), targets.end(), [&](const auto& record) { return record.id == selection->target; });
+        RC_ASSERT(it != targets.end());
+        RC_ASSERT(it->state == TargetState::Ready);
+        selector.noteSent(it->id, now);
+        switch (random.below(4)) {
+        case 0:
+            selector.noteLost(it->id, now);
+            break;
+        case 1:
+            selector.noteAbandoned(it->id, Duration(random.below(1'000'000)), now);
+            break;
+        default:
+            selector.noteReply(
+                it->id, makeLoad(random.below(11), 0), Duration(random.below(100'000)), random.chance(0.2), now);
+        }
+        RC_ASSERT(selector.ejectedCount() * 2 <= selector.readyCount());
+        RC_ASSERT(!selector.readyCount() || selector.usableCount() > 0);
+    }
+}
+
+} // namespace
+} // namespace Berylport
