--- /dev/null
+++ b/Source/Node/CallerAnswers.cpp
@@ -0,0 +1,176 @@
+// Status, outcome, reason and time to come back of the answers that the system makes.
+#include "Node/CallerAnswers.h"
+
+#include <charconv>
+
+namespace Berylport {
+
+namespace {
+
+constexpr Duration maximumTimeout = std::chrono::minutes(5);
+// An unconfirmed node usually confirms within one exchange with a peer.
+constexpr Duration unconfirmedRetryAfter = std::chrono::milliseconds(500);
+constexpr std::string_view defaultTenant = "default";
+
+void addRetryAfter(HttpResponse& response, Duration wait)
+{
+    if (wait <= Duration::zero())
+        return;
+    int64_t milliseconds = std::max<int64_t>(1, std::chrono::ceil<std::chrono::milliseconds>(wait).count());
+    // Retry-After has whole seconds only; rounding down would bring the caller back too early.
+    int64_t seconds = (milliseconds + 999) / 1000;
+    setHeader(response.headers, Header::retryAfter, std::to_string(seconds));
+    setHeader(response.headers, Header::retryAfterMilliseconds, std::to_string(milliseconds));
+}
+
+HttpResponse makeResponse(uint16_t status, RunOutcome outcome, std::string_view reason, Duration retryAfter)
+{
+    HttpResponse response { .status = status };
+    setHeader(response.headers, "Content-Type", "application/json");
+    setHeader(response.headers, Header::outcome, toText(outcome));
+    setHeader(response.headers, Header::reason, reason);
+    addRetryAfter(response, retryAfter);
+    response.body = "{\"outcome\":\"" + std::string(toText(outcome)) + "\",\"reason\":\"" + std::string(reason) + "\"}\n";
+    return response;
+}
+
+uint16_t statusOf(EntryRefusal refusal)
+{
+    switch (refusal) {
+    case EntryRefusal::MissingService:
+    case EntryRefusal::InvalidService:
+    case EntryRefusal::InvalidTenant:
+    case EntryRefusal::InvalidTimeout:
+    case EntryRefusal::InvalidParent:
+        return 400;
+    case EntryRefusal::UnknownService:
+        return 404;
+    case EntryRefusal::Unconfirmed:
+    case EntryRefusal::Isolated:
+    case EntryRefusal::PatientUnavailable:
+        return 503;
+    }
+    return 500;
+}
+
+uint16_t statusOf(CallFailure failure)
+{
+    switch (failure) {
+    case CallFailure::DeadlineExceeded:
+        return 504;
+    case CallFailure::ResponseLost:
+        return 502;
+    case CallFailure::NoTarget:
+    case CallFailure::Refused:
+    case CallFailure::DepthExceeded:
+        return 503;
+    }
+    return 500;
+}
+
+std::optional<Duration> parseMilliseconds(std::string_view text)
+{
+    int64_t n = 0;
+    const char* end = text.data() + text.size();
+    auto [position, ec] = std::from_chars(text.data(), end, n);
+    bool isInRange = n >= 1 && n <= toMilliseconds(maximumTimeout);
+    if (ec != std::errc() || position != end || !isInRange)
+        return std::nullopt;
+    return std::chrono::milliseconds(n);
+}
+
+std::string_view firstLabel(std::string_view host)
+{
+    return host.substr(0, host.find_first_of(".:"));
+}
+
+Result<ServiceName, EntryRefusal> readService(const HttpRequest& request)
+{
+    auto name = findHeader(request.headers, Header::service);
+    if (!name) {
+        auto host = findHeader(request.headers, "Host");
+        if (!host || host->empty())
+            return EntryRefusal::MissingService;
+        name = firstLabel(*host);
+    }
+    if (!isValidName(*name))
+        return EntryRefusal::InvalidService;
+    return ServiceName(*name);
+}
+
+} // namespace
+
+std::string_view toText(EntryRefusal refusal)
+{
+    switch (refusal) {
+    case EntryRefusal::MissingService:
+        return "missing-service";
+    case EntryRefusal::InvalidService:
+        return "invalid-service";
+    case EntryRefusal::InvalidTenant:
+        return "invalid-tenant";
+    case EntryRefusal::InvalidTimeout:
+        return "invalid-timeout";
+    case EntryRefusal::InvalidParent:
+        return "invalid-parent";
+    case EntryRefusal::UnknownService:
+        return "unknown-service";
+    case EntryRefusal::Unconfirmed:
+        return "unconfirmed";
+    case EntryRefusal::Isolated:
+        return "isolated";
+    case EntryRefusal::PatientUnavailable:
+        return "patient-unavailable";
+    }
+    return "unknown";
+}
+
+HttpResponse makeRefusal(EntryRefusal refusal)
+{
+    uint16_t status = statusOf(refusal);
+    Duration retryAfter = status == 503 ? unconfirmedRetryAfter : Duration::zero();
+    return makeResponse(status, RunOutcome::NotRun, toText(refusal), retryAfter);
+}
+
+HttpResponse makeAnswer(AnswerCaller&& answer)
+{
+    if (auto* response = std::get_if<HttpResponse>(&answer.result)) {
+        setHeader(response->headers, Header::outcome, toText(RunOutcome::Run));
+        return std::move(*response);
+    }
+    CallFailure failure = std::get<CallFailure>(answer.result);
+    std::string_view reason = answer.refusal ? toText(*answer.refusal) : toText(failure);
+    return makeResponse(statusOf(failure), answer.outcome, reason, answer.retryAfter);
+}
+
+Result<CallerRequest, EntryRefusal> readCallerRequest(const HttpRequest& request)
+{
+    CallerRequest result;
+    auto service = readService(request);
+    if (!service)
+        return service.error();
+    result.service = service.value();
+    std::string_view tenant = findHeader(request.headers, Header::tenant).value_or(defaultTenant);
+    if (!isValidName(tenant))
+        return EntryRefusal::InvalidTenant;
+    result.tenant = TenantName(tenant);
+    if (auto timeout = findHeader(request.headers, Header::timeout)) {
+        result.timeout = parseMilliseconds(*timeout);
+        if (!result.timeout)
+            return EntryRefusal::InvalidTimeout;
+    }
+    if (auto parent = findHeader(request.headers, Header::parent)) {
+        result.parent = parseCallId(*parent);
+        if (!result.parent)
+            return EntryRefusal::InvalidParent;
+    }
+    return result;
+}
+
+void removeCallerHeaders(HttpRequest& request)
+{
+    for (std::string_view it : { Header::service, Header::timeout, Header::parent, Header::deadline })
+        removeHeader(request.headers, it);
+}
+
+} // namespace Berylport
--- /dev/null
+++ b/Source/Node/CallerAnswers.h
@@ -0,0 +1,61 @@
+// Builds the answers that the system itself gives to callers, and reads the callers' headers.
+#pragma once
+
+#include "Base/Base.h"
+#include "Calls/CallActions.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Berylport {
+
+// Headers of docs/callers.md.
+namespace Header {
+constexpr std::string_view service = "Berylport-Service";
+constexpr std::string_view tenant = "Berylport-Tenant";
+constexpr std::string_view timeout = "Berylport-Timeout-Ms";
+constexpr std::string_view parent = "Berylport-Parent";
+constexpr std::string_view outcome = "Berylport-Outcome";
+constexpr std::string_view reason = "Berylport-Reason";
+constexpr std::string_view retryAfterMilliseconds = "Berylport-Retry-After-Ms";
+constexpr std::string_view retryAfter = "Retry-After";
+constexpr std::string_view deadline = "Berylport-Deadline-Ms";
+constexpr std::string_view idempotencyKey = "Idempotency-Key";
+constexpr std::string_view traceParent = "traceparent";
+}
+
+// Why the entry node itself refuses a request, before any attempt.
+enum class EntryRefusal : uint8_t {
+    MissingService,
+    InvalidService,
+    InvalidTenant,
+    InvalidTimeout,
+    InvalidParent,
+    UnknownService,
+    Unconfirmed,
+    Isolated,
+    PatientUnavailable,
+};
+
+std::string_view toText(EntryRefusal);
+
+HttpResponse makeRefusal(EntryRefusal);
+// From the coordinator's final word about a call. A whole answer of the target passes with its outcome added.
+HttpResponse makeAnswer(AnswerCaller&&);
+
+// What the caller asks for.
+struct CallerRequest {
+    ServiceName service;
+    TenantName tenant;
+    // Only shortens the service's own.
+    std::optional<Duration> timeout;
+    std::optional<CallId> parent;
+};
+
+Result<CallerRequest, EntryRefusal> readCallerRequest(const HttpRequest&);
+
+// Removes the headers that are between the caller and this node.
+void removeCallerHeaders(HttpRequest&);
+
+} // namespace Berylport
--- /dev/null
+++ b/Source/Node/EntryTask.cpp
@@ -0,0 +1,368 @@
+// From a caller's request to its one answer.
+#include "Node/EntryTask.h"
+
+#include "Log/Log.h"
+#include "Trace/Trace.h"
+
+namespace Berylport {
+
+namespace {
+
+constexpr std::string_view ownPathPrefix = "/berylport/";
+constexpr std::string_view actionPathPrefix = "/berylport/actions/";
+
+SelectionPolicy policyFor(std::string_view name)
+{
+    if (name == "two-choices")
+        return TwoChoices {};
+    if (name == "least-reported")
+        return LeastReported {};
+    if (name == "round-robin")
+        return RoundRobin {};
+    if (name == "random")
+        return RandomChoice {};
+    return FreshLoad {};
+}
+
+CallOptions makeCallOptions(const NodeContext& context)
+{
+    CallOptions options;
+    options.routing.zone = context.settings.node.zone;
+    options.routing.region = context.settings.node.region;
+    options.routing.policy = policyFor(context.settings.routing.policy);
+    options.routing.otherZoneRoundTrip = context.settings.routing.crossZoneRoundTrip;
+    options.seed = context.seed;
+    return options;
+}
+
+HttpServerOptions makeServerOptions(const CallerSection& settings)
+{
+    return { .limits = { .headBytes = settings.maximumHeaderBytes, .bodyBytes = settings.maximumBodyBytes },
+        .headTime = settings.readTimeout,
+        .bodyTime = settings.readTimeout,
+        .idleTime = settings.idleTimeout,
+        .maxConnections = settings.maximumConnections };
+}
+
+MetricKey outcomeKey(std::string_view outcome)
+{
+    return { .name = "berylport_calls_total", .labelName = "outcome", .labelValue = std::string(outcome) };
+}
+
+} // namespace
+
+EntryTask::EntryTask(NodeContext& context, PatientGate* const& patient)
+    : Task(context.loop, "entry")
+    , m_context(context)
+    , m_patient(patient)
+    , m_mailbox(context.loop, guarded([this](EntryMessage&& message) {
+        std::visit([this](auto& it) { handle(std::move(it)); }, message);
+    }))
+    , m_coordinator(makeCallOptions(context))
+    , m_server(context.loop.base(), guarded([this](HttpRequest request, const Endpoint& peer, Responder responder) {
+        arrived(std::move(request), peer, std::move(responder));
+    }),
+          makeServerOptions(context.settings.caller))
+    , m_timer(context.loop, guarded([this] { wake(); }))
+{
+}
+
+EntryTask::~EntryTask() = default;
+
+void EntryTask::start()
+{
+    auto endpoint = m_server.listen(m_context.settings.listen.caller);
+    if (!endpoint)
+        throw std::runtime_error("callers' address " + toText(m_context.settings.listen.caller) + ": " + std::string(toText(endpoint.error())));
+    m_context.ports.entry.attach(&m_mailbox);
+    // A restarted task has missed what came before.
+    m_catalogue = m_context.status.catalogue;
+    m_guard = m_context.status.guard;
+    m_coordinator.updateTargets(m_context.status.targets, steadyNow());
+}
+
+void EntryTask::stop() noexcept
+{
+    m_context.ports.entry.detach();
+    m_server.stopListening();
+    m_timer.stop();
+}
+
+// --- requests
+
+void EntryTask::refuse(const Responder& responder, EntryRefusal refusal)
+{
+    m_context.metrics.add({ .name = "berylport_entry_refusals_total", .labelName = "reason", .labelValue = std::string(toText(refusal)) });
+    responder.answer(makeRefusal(refusal));
+}
+
+bool EntryTask::answerOwnPath(const HttpRequest& request, const Responder& responder)
+{
+    std::string_view path = request.target;
+    if (!path.starts_with(ownPathPrefix))
+        return false;
+    if (path.starts_with(actionPathPrefix) && m_patient)
+        m_patient->showAction(path.substr(actionPathPrefix.size()), responder);
+    else if (path == "/berylport/health")
+        responder.answer({ .status = static_cast<uint16_t>(m_guard == GuardState::Confirmed ? 200 : 503),
+            .body = std::string(toText(m_guard)) + "\n" });
+    else
+        responder.answer({ .status = 404 });
+    return true;
+}
+
+void EntryTask::arrived(HttpRequest request, const Endpoint&, Responder responder)
+{
+    if (answerOwnPath(request, responder))
+        return;
+    auto caller = readCallerRequest(request);
+    if (!caller) {
+        refuse(responder, caller.error());
+        return;
+    }
+    if (m_guard != GuardState::Confirmed) {
+        refuse(responder, m_guard == GuardState::Isolated ? EntryRefusal::Isolated : EntryRefusal::Unconfirmed);
+        return;
+    }
+    auto definition = m_catalogue->services.find(caller.value().service);
+    if (definition == m_catalogue->services.end()) {
+        refuse(responder, EntryRefusal::UnknownService);
+        return;
+    }
+    if (definition->second.kind != RequestKind::Patient) {
+        startCall(caller.value(), definition->second, std::move(request), std::move(responder));
+        return;
+    }
+    if (m_patient)
+        m_patient->accept(definition->second, caller.value(), std::move(request), std::move(responder));
+    else
+        refuse(responder, EntryRefusal::PatientUnavailable);
+}
+
+void EntryTask::startCall(const CallerRequest& request, const ServiceDefinition& definition, HttpRequest http,
+    Responder responder)
+{
+    Instant now = steadyNow();
+    Duration wait = std::min(definition.callerWait, request.timeout.value_or(definition.callerWait));
+    auto parentSpan = findHeader(http.headers, Header::traceParent).value_or(std::string_view());
+    auto span = startSpan(*m_context.tracer, "call", parentSpan);
+    span->SetTag("service", request.service.text);
+    removeCallerHeaders(http);
+    CallId id { .origin = m_context.self, .sequence = ++m_lastSequence };
+    StartCall call { .id = id,
+        .definition = definition,
+        .tenant = request.tenant,
+        .http = std::move(http),
+        .deadline = now + wait,
+        .retryTokens = definition.retryTokens,
+        .parent = request.parent };
+    Caller caller { .responder = std::move(responder),
+        .span = std::move(span),
+        .arrived = now,
+        .service = request.service,
+        .parent = request.parent };
+    if (!request.parent) {
+        begin(std::move(call), std::move(caller));
+        return;
+    }
+    m_context.ports.target.post(FindParent { .child = id, .parent = *request.parent });
+    m_waitingChildren.emplace(id, WaitingChild { .call = std::move(call), .caller = std::move(caller) });
+}
+
+void EntryTask::handle(ParentFound&& found)
+{
+    auto it = m_waitingChildren.find(found.child);
+    if (it == m_waitingChildren.end())
+        return;
+    WaitingChild child = std::move(it->second);
+    m_waitingChildren.erase(it);
+    if (!found.allowance) {
+        AnswerCaller answer { .id = found.child, .result = CallFailure::Refused, .refusal = found.allowance.error() };
+        child.caller.responder.answer(makeAnswer(std::move(answer)));
+        return;
+    }
+    const ParentAllowance& allowance = found.allowance.value();
+    child.call.deadline = std::min(child.call.deadline, allowance.deadline);
+    child.call.retryTokens = allowance.retryTokens;
+    child.call.depth = allowance.depth;
+    child.caller.tokensFromParent = allowance.retryTokens;
+    begin(std::move(child.call), std::move(child.caller));
+}
+
+void EntryTask::begin(StartCall call, Caller caller)
+{
+    CallId id = call.id;
+    caller.responder.onCallerGone(guarded([this, id] {
+        CallActions actions;
+        m_coordinator.callerGone(id, steadyNow(), actions);
+        perform(actions);
+        m_callers.erase(id);
+        updateStatus();
+    }));
+    m_callers.emplace(id, std::move(caller));
+    CallActions actions;
+    m_coordinator.startCall(std::move(call), steadyNow(), actions);
+    perform(actions);
+}
+
+// --- messages
+
+void EntryTask::handle(AttemptReplied&& message)
+{
+    m_attemptSpans.erase(std::visit([](auto& it) { return it.id; }, message.reply));
+    CallActions actions;
+    m_coordinator.replyArrived(message.reply, steadyNow(), actions);
+    perform(actions);
+}
+
+void EntryTask::handle(AttemptNotSent&& message)
+{
+    m_attemptSpans.erase(message.id);
+    CallActions actions;
+    m_coordinator.sendFailed(message.id, steadyNow(), actions);
+    perform(actions);
+}
+
+void EntryTask::handle(QueryReplied&& message)
+{
+    CallActions actions;
+    m_coordinator.queryAnswered(message.reply, steadyNow(), actions);
+    perform(actions);
+}
+
+void EntryTask::handle(QueryFailed&& message)
+{
+    CallActions actions;
+    m_coordinator.queryFailed(message.id, steadyNow(), actions);
+    perform(actions);
+}
+
+void EntryTask::handle(TargetsChanged&& message)
+{
+    m_coordinator.updateTargets(message.targets, steadyNow());
+}
+
+void EntryTask::handle(CatalogueChanged&& message)
+{
+    m_catalogue = std::move(message.catalogue);
+}
+
+void EntryTask::handle(NodeGone&& message)
+{
+    CallActions actions;
+    m_coordinator.targetGone(message.node, steadyNow(), actions);
+    perform(actions);
+}
+
+void EntryTask::handle(ServingChanged&& message)
+{
+    m_guard = message.state;
+}
+
+void EntryTask::handle(BeginDrain&&)
+{
+    // Requests that still arrive on open connections are served; a refusal would cost the caller a request.
+    m_server.stopListening();
+    m_server.closeAfterAnswers();
+}
+
+// --- actions
+
+void EntryTask::perform(CallActions& actions)
+{
+    for (auto& action : actions)
+        std::visit([this](auto& it) { perform(std::move(it)); }, action);
+    if (auto next = m_coordinator.nextWake())
+        m_timer.startAt(*next);
+    else
+        m_timer.stop();
+    updateStatus();
+}
+
+void EntryTask::perform(SendAttempt&& attempt)
+{
+    auto caller = m_callers.find(attempt.request.id.call);
+    if (caller != m_callers.end()) {
+        auto parent = traceParentText(caller->second.span->context());
+        auto span = startSpan(*m_context.tracer, "attempt", parent);
+        span->SetTag("target-node", toText(attempt.target.node));
+        setHeader(attempt.request.http.headers, Header::traceParent, traceParentText(span->context()));
+        m_attemptSpans[attempt.request.id] = std::move(span);
+    }
+    m_context.metrics.add("berylport_attempts_total");
+    AttemptId id = attempt.request.id;
+    if (attempt.target.node == m_context.self)
+        sendToOwnTarget(std::move(attempt.request));
+    else if (!m_context.ports.link.post(std::move(attempt)))
+        m_mailbox.post(AttemptNotSent { .id = id });
+}
+
+void EntryTask::sendToOwnTarget(CallRequest request)
+{
+    AttemptId id = request.id;
+    auto reply = [&ports = m_context.ports](CallReply it) { ports.entry.post(AttemptReplied { .reply = std::move(it) }); };
+    bool isPosted = m_context.ports.target.post(
+        OfferCall { .link = LinkId {}, .request = std::move(request), .reply = std::move(reply) });
+    if (!isPosted)
+        m_mailbox.post(AttemptNotSent { .id = id });
+}
+
+void EntryTask::perform(SendCancel&& cancel)
+{
+    if (cancel.target.node == m_context.self)
+        m_context.ports.target.post(CancelCall { .cancel = cancel.cancel });
+    else
+        m_context.ports.link.post(std::move(cancel));
+}
+
+void EntryTask::perform(SendQuery&& query)
+{
+    AttemptId id = query.query.id;
+    if (query.target.node == m_context.self) {
+        auto reply = [&ports = m_context.ports](QueryReply it) { ports.entry.post(QueryReplied { .reply = std::move(it) }); };
+        if (!m_context.ports.target.post(QueryCall { .link = LinkId {}, .query = query.query, .reply = std::move(reply) }))
+            m_mailbox.post(QueryFailed { .id = id });
+        return;
+    }
+    if (!m_context.ports.link.post(std::move(query)))
+        m_mailbox.post(QueryFailed { .id = id });
+}
+
+void EntryTask::perform(AnswerCaller&& answer)
+{
+    auto it = m_callers.find(answer.id);
+    if (it == m_callers.end())
+        return;
+    Caller caller = std::move(it->second);
+    m_callers.erase(it);
+    if (caller.parent && caller.tokensFromParent > answer.retryTokensUsed) {
+        m_context.ports.target.post(ReturnRetryTokens {
+            .parent = *caller.parent, .unused = caller.tokensFromParent - answer.retryTokensUsed });
+    }
+    Instant now = steadyNow();
+    caller.span->SetTag("outcome", std::string(toText(answer.outcome)));
+    caller.span->SetTag("attempts", answer.attempts);
+    m_context.metrics.add(outcomeKey(toText(answer.outcome)));
+    MetricKey latency { .name = "berylport_call_seconds", .labelName = "service", .labelValue = caller.service.text };
+    m_context.metrics.record(latency, now - caller.arrived, now);
+    if (auto* failure = std::get_if<CallFailure>(&answer.result)) {
+        Event event = answer.outcome == RunOutcome::MayHaveRun ? Event::CallOutcomeUnknown : Event::CallGivenUp;
+        logEvent(event, { { "call", toText(answer.id) }, { "service", caller.service.text },
+            { "outcome", std::string(toText(answer.outcome)) }, { "reason", std::string(toText(*failure)) } });
+    }
+    caller.responder.answer(makeAnswer(std::move(answer)));
+}
+
+void EntryTask::wake()
+{
+    CallActions actions;
+    m_coordinator.tick(steadyNow(), actions);
+    perform(actions);
+}
+
+void EntryTask::updateStatus()
+{
+    m_context.status.entryCalls = m_callers.size() + m_waitingChildren.size();
+}
+
+} // namespace Berylport
--- /dev/null
+++ b/Source/Node/LinkTask.cpp
@@ -0,0 +1,203 @@
+// Joins Peer's links with the tasks of the node.
+#include "Node/LinkTask.h"
+
+#include "Log/Log.h"
+
+namespace Berylport {
+
+LinkTask::LinkTask(NodeContext& context)
+    : Task(context.loop, "link")
+    , m_context(context)
+    , m_mailbox(context.loop, guarded([this](LinkMessage&& message) {
+        std::visit([this](auto& it) { handle(std::move(it)); }, message);
+    }))
+    , m_server(context.loop, context.self, *this, {})
+    , m_links(context.loop, context.self, context.seed, {},
+          { .opened = [](const PeerAddress& address) { logEvent(Event::LinkOpened, { { "peer", toText(address.node) } }); },
+              .closed =
+                  [](const PeerAddress& address, PeerError ec) {
+                      logEvent(Event::LinkClosed, { { "peer", toText(address.node) }, { "reason", std::string(toText(ec)) } });
+                  } })
+{
+}
+
+LinkTask::~LinkTask() = default;
+
+void LinkTask::start()
+{
+    auto endpoint = m_server.listen(m_context.settings.listen.peer);
+    if (!endpoint)
+        throw std::runtime_error("peer address " + toText(m_context.settings.listen.peer) + ": " + std::string(toText(endpoint.error())));
+    m_context.ports.link.attach(&m_mailbox);
+    for (auto& it : m_context.status.members)
+        m_endpoints[it.node] = it.peer;
+}
+
+void LinkTask::stop() noexcept
+{
+    m_context.ports.link.detach();
+    m_server.stopListening();
+}
+
+std::optional<PeerAddress> LinkTask::addressOf(NodeId node) const
+{
+    auto it = m_endpoints.find(node);
+    if (it == m_endpoints.end())
+        return std::nullopt;
+    return PeerAddress { .node = node, .endpoint = it->second };
+}
+
+// --- from peers
+
+void LinkTask::callArrived(const LinkInfo& link, CallRequest request, ReplyToCall reply)
+{
+    AttemptId id = request.id;
+    m_context.metrics.add("berylport_link_calls_total");
+    bool isPosted = m_context.ports.target.post(
+        OfferCall { .link = link.id, .request = std::move(request), .reply = reply });
+    if (!isPosted)
+        reply(CallRefused { .id = id, .reason = RefusalReason::NoTarget });
+}
+
+void LinkTask::cancelArrived(const LinkInfo&, CallCancel cancel)
+{
+    m_context.ports.target.post(CancelCall { .cancel = cancel });
+}
+
+void LinkTask::queryArrived(const LinkInfo& link, CallQuery query, ReplyToQuery reply)
+{
+    AttemptId id = query.id;
+    if (!m_context.ports.target.post(QueryCall { .link = link.id, .query = query, .reply = reply }))
+        reply(CallLost { .id = id, .reason = LossReason::NodeStopped });
+}
+
+ConfigurationOffer LinkTask::configuration(uint64_t since)
+{
+    ConfigurationOffer offer;
+    if (m_context.status.configuration)
+        offer.delta = m_context.status.configuration->deltaSince(since);
+    offer.isServing = m_context.status.guard == GuardState::Confirmed;
+    return offer;
+}
+
+void LinkTask::drainArrived(const LinkInfo&, const ServiceName& service, bool isDrained, std::function<void(bool)> done)
+{
+    if (!m_context.ports.target.post(DrainTarget { .service = service, .isDrained = isDrained, .done = done }))
+        done(false);
+}
+
+void LinkTask::linkOpened(const LinkInfo& link)
+{
+    m_context.ports.target.post(LinkOpened { .link = link.id });
+}
+
+void LinkTask::linkClosed(const LinkInfo& link)
+{
+    m_context.ports.target.post(LinkClosed { .link = link.id });
+}
+
+// --- from the other tasks
+
+void LinkTask::handle(SendAttempt&& attempt)
+{
+    auto address = addressOf(attempt.target.node);
+    AttemptId id = attempt.request.id;
+    auto& ports = m_context.ports;
+    if (!address) {
+        ports.entry.post(AttemptNotSent { .id = id });
+        return;
+    }
+    m_links.send(*address, std::move(attempt.request), [&ports](CallResult result) {
+        if (result)
+            ports.entry.post(AttemptReplied { .reply = std::move(result.value()) });
+        else
+            ports.entry.post(AttemptNotSent { .id = result.error().id });
+    });
+}
+
+void LinkTask::handle(SendCancel&& message)
+{
+    if (auto address = addressOf(message.target.node))
+        m_links.cancel(*address, message.cancel);
+}
+
+void LinkTask::handle(SendQuery&& message)
+{
+    AttemptId id = message.query.id;
+    auto& ports = m_context.ports;
+    auto address = addressOf(message.target.node);
+    if (!address) {
+        ports.entry.post(QueryFailed { .id = id });
+        return;
+    }
+    m_links.query(*address, message.query, [&ports, id](Result<QueryReply, PeerError> result) {
+        if (result)
+            ports.entry.post(QueryReplied { .reply = std::move(result.value()) });
+        else
+            ports.entry.post(QueryFailed { .id = id });
+    });
+}
+
+void LinkTask::handle(PeerBook&& message)
+{
+    m_endpoints = std::move(message.endpoints);
+}
+
+void LinkTask::handle(ConfirmLinks&& message)
+{
+    m_server.confirmLinks([&ports = m_context.ports, pause = message.pause](const LinkInfo& link) {
+        ports.target.post(LinkConfirmed { .link = link.id, .pause = pause });
+    });
+}
+
+void LinkTask::handle(FetchConfiguration&& message)
+{
+    auto& ports = m_context.ports;
+    NodeId node = message.node;
+    auto address = addressOf(node);
+    if (!address) {
+        ports.configuration.post(ConfigurationFetchFailed { .node = node });
+        return;
+    }
+    Instant askedAt = steadyNow();
+    m_links.fetchConfiguration(*address, message.since, [&ports, node, askedAt](Result<ConfigurationOffer, PeerError> offer) {
+        if (!offer) {
+            ports.configuration.post(ConfigurationFetchFailed { .node = node });
+            return;
+        }
+        ports.configuration.post(ConfigurationFetched { .node = node,
+            .delta = std::move(offer.value().delta),
+            .isServing = offer.value().isServing,
+            .askedAt = askedAt });
+    });
+}
+
+void LinkTask::handle(NodeGone&& message)
+{
+    if (auto address = addressOf(message.node))
+        m_links.forget(*address);
+}
+
+void LinkTask::handle(DrainRemoteTarget&& message)
+{
+    auto address = addressOf(message.node);
+    if (!address) {
+        message.done(RemoteDrainError::UnknownNode);
+        return;
+    }
+    m_links.drainTarget(*address, message.service, message.isDrained, [done = message.done](Result<bool, PeerError> isKnown) {
+        if (!isKnown)
+            done(RemoteDrainError::Unreachable);
+        else if (!isKnown.value())
+            done(RemoteDrainError::UnknownTarget);
+        else
+            done(success());
+    });
+}
+
+void LinkTask::handle(BeginDrain&&)
+{
+    // Peers may still ask what became of calls, and bring calls that are refused truthfully, so links stay open.
+}
+
+} // namespace Berylport
--- /dev/null
+++ b/Source/Node/MembershipTask.cpp
@@ -0,0 +1,233 @@
+// Joins the membership service with its socket, its timer and the other tasks.
+#include "Node/MembershipTask.h"
+
+#include "Log/Log.h"
+
+namespace Berylport {
+
+namespace {
+
+MemberRecord makeSelf(const NodeContext& context)
+{
+    const ListenSection& listen = context.settings.listen;
+    return { .node = context.self,
+        .gossip = listen.gossipAdvertised.value_or(listen.gossip),
+        .peer = listen.peerAdvertised.value_or(listen.peer),
+        .zone = context.settings.node.zone,
+        .region = context.settings.node.region,
+        .version = 1 };
+}
+
+MembershipOptions makeOptions(const MembershipSection& settings)
+{
+    MembershipOptions options;
+    options.detector.probeInterval = settings.probeInterval;
+    options.detector.directTimeout = std::min(options.detector.directTimeout, settings.probeInterval / 2);
+    options.detector.suspicionTime = settings.suspicionTime;
+    return options;
+}
+
+Event eventFor(MemberEventKind kind)
+{
+    switch (kind) {
+    case MemberEventKind::Joined:
+    case MemberEventKind::Recovered:
+        return Event::MemberJoined;
+    case MemberEventKind::Suspected:
+        return Event::MemberSuspected;
+    case MemberEventKind::Dead:
+        return Event::MemberDead;
+    case MemberEventKind::Left:
+        return Event::MemberLeft;
+    }
+    return Event::MemberJoined;
+}
+
+} // namespace
+
+MembershipTask::MembershipTask(NodeContext& context)
+    : Task(context.loop, "membership")
+    , m_context(context)
+    , m_mailbox(context.loop, guarded([this](MembershipMessage&& message) {
+        std::visit([this](auto& it) { handle(std::move(it)); }, message);
+        wake();
+    }))
+    , m_socket(context.loop, guarded([this](const Endpoint& from, GossipMessage message) {
+        m_pauses.check();
+        MembershipActions actions;
+        m_service.receive(message, from, steadyNow(), actions);
+        perform(actions);
+        wake();
+    }))
+    , m_service(makeOptions(context.settings.membership), makeSelf(context), context.seed, steadyNow())
+    , m_timer(context.loop, guarded([this] { wake(); }))
+    , m_pauses(context.loop, {}, guarded([this](Duration) { m_service.paused(steadyNow()); }))
+{
+}
+
+void MembershipTask::start()
+{
+    auto endpoint = m_socket.listen(m_context.settings.listen.gossip);
+    if (!endpoint)
+        throw std::runtime_error("gossip address " + toText(m_context.settings.listen.gossip) + ": " + std::string(toText(endpoint.error())));
+    m_context.ports.membership.attach(&m_mailbox);
+    if (!m_context.settings.membership.seeds.empty()) {
+        MembershipActions actions;
+        m_service.join(m_context.settings.membership.seeds, steadyNow(), actions);
+        perform(actions);
+    }
+    wake();
+}
+
+void MembershipTask::stop() noexcept
+{
+    m_context.ports.membership.detach();
+    m_timer.stop();
+}
+
+// --- messages
+
+void MembershipTask::handle(TargetsAnnounced&& message)
+{
+    MembershipActions actions;
+    m_service.setTargets(std::move(message.targets), steadyNow(), actions);
+    perform(actions);
+}
+
+void MembershipTask::handle(VersionInForce&& message)
+{
+    MembershipActions actions;
+    m_service.setConfigurationVersion(message.version, steadyNow(), actions);
+    perform(actions);
+}
+
+void MembershipTask::handle(CoordinatorHeld&& message)
+{
+    m_service.setCoordinator(message.coordinator);
+}
+
+void MembershipTask::handle(RemindMembers&& message)
+{
+    MembershipActions actions;
+    for (NodeId it : message.members)
+        m_service.tell(it, actions);
+    perform(actions);
+}
+
+void MembershipTask::handle(SeedsFound&& message)
+{
+    if (m_service.hasJoined())
+        return;
+    if (message.isFirstNode)
+        m_service.joinAsFirst();
+    std::vector<Endpoint> seeds = m_context.settings.membership.seeds;
+    seeds.insert(seeds.end(), message.seeds.begin(), message.seeds.end());
+    MembershipActions actions;
+    m_service.join(seeds, steadyNow(), actions);
+    perform(actions);
+}
+
+void MembershipTask::handle(BeginDrain&&)
+{
+    MembershipActions actions;
+    m_service.leave(steadyNow(), actions);
+    perform(actions);
+}
+
+// --- actions
+
+void MembershipTask::perform(MembershipActions& actions)
+{
+    for (auto& action : actions)
+        std::visit([this](auto& it) { perform(std::move(it)); }, action);
+    if (std::exchange(m_hasChanges, false))
+        publishMembers();
+}
+
+void MembershipTask::perform(SendGossip&& send)
+{
+    // A datagram that cannot be sent counts as lost, which gossip repairs.
+    auto sent = m_socket.send(send.to, send.message);
+    if (!sent)
+        m_context.metrics.add("berylport_gossip_send_failures_total");
+}
+
+void MembershipTask::perform(MemberEvent&& event)
+{
+    logEvent(eventFor(event.kind), { { "node", toText(event.node) } });
+    if (event.kind == MemberEventKind::Left)
+        m_context.ports.configuration.post(ZoneMemberLeft { .node = event.node });
+    if (event.kind != MemberEventKind::Dead)
+        return;
+    m_context.ports.entry.post(NodeGone { .node = event.node });
+    m_context.ports.link.post(NodeGone { .node = event.node });
+}
+
+void MembershipTask::perform(MembersChanged&&)
+{
+    m_hasChanges = true;
+}
+
+void MembershipTask::perform(DeclaredDead&&)
+{
+    m_context.ports.configuration.post(TakenForDead {});
+}
+
+void MembershipTask::perform(ContactChanged&& contact)
+{
+    logEvent(contact.isCutOff ? Event::NodeCutOff : Event::NodeContactRestored);
+    m_context.ports.configuration.post(ContactLost { .isCutOff = contact.isCutOff });
+}
+
+void MembershipTask::perform(PeerVersionSeen&& seen)
+{
+    const Member* member = m_service.table().find(seen.node);
+    bool isOwnZone = member && member->record.zone == m_context.settings.node.zone;
+    m_context.ports.configuration.post(
+        PeerVersion { .node = seen.node, .version = seen.version, .isOwnZone = isOwnZone });
+}
+
+void MembershipTask::perform(CoordinatorLearned&&)
+{
+    // The service itself uses it when a version changes.
+}
+
+void MembershipTask::publishMembers()
+{
+    const MemberTable& table = m_service.table();
+    PeerBook book;
+    std::vector<MemberRecord> members { table.self() };
+    for (auto& [node, member] : table.others()) {
+        // Members taken for dead may still answer a query.
+        book.endpoints[node] = member.record.peer;
+        members.push_back(member.record);
+    }
+    std::ranges::sort(members, {}, &MemberRecord::node);
+    m_context.status.members = std::move(members);
+    m_context.status.targets = m_service.targets();
+    m_context.ports.link.post(std::move(book));
+    m_context.ports.entry.post(TargetsChanged { .targets = m_context.status.targets });
+    m_context.ports.configuration.post(
+        ZoneMembersChanged { .present = m_service.presentInZone(m_context.settings.node.zone) });
+}
+
+void MembershipTask::wake()
+{
+    m_pauses.check();
+    MembershipActions actions;
+    m_service.tick(steadyNow(), actions);
+    perform(actions);
+    m_timer.startAt(m_service.nextWake());
+    updateMetrics();
+}
+
+void MembershipTask::updateMetrics()
+{
+    const GossipCounters& counters = m_socket.counters();
+    m_context.metrics.set("berylport_members", static_cast<double>(m_service.table().presentCount() + 1));
+    m_context.metrics.set("berylport_gossip_sent_bytes", static_cast<double>(counters.sentBytes));
+    m_context.metrics.set("berylport_gossip_received_bytes", static_cast<double>(counters.receivedBytes));
+    m_context.metrics.set("berylport_gossip_malformed", static_cast<double>(counters.malformed));
+}
+
+} // namespace Berylport
--- /dev/null
+++ b/Source/Node/MembershipTask.h
@@ -0,0 +1,47 @@
+// Runs membership over the gossip socket and tells the other tasks what it learns.
+#pragma once
+
+#include "Membership/Membership.h"
+#include "Node/NodeContext.h"
+#include "Peer/Peer.h"
+
+namespace Berylport {
+
+class MembershipTask : public Task {
+public:
+    explicit MembershipTask(NodeContext&);
+
+    void start() override;
+    void stop() noexcept override;
+
+private:
+    void handle(TargetsAnnounced&&);
+    void handle(VersionInForce&&);
+    void handle(CoordinatorHeld&&);
+    void handle(RemindMembers&&);
+    void handle(SeedsFound&&);
+    void handle(BeginDrain&&);
+
+    void perform(MembershipActions&);
+    void perform(SendGossip&&);
+    void perform(MemberEvent&&);
+    void perform(MembersChanged&&);
+    void perform(DeclaredDead&&);
+    void perform(ContactChanged&&);
+    void perform(PeerVersionSeen&&);
+    void perform(CoordinatorLearned&&);
+    void publishMembers();
+    void wake();
+    void updateMetrics();
+
+    NodeContext& m_context;
+    Mailbox<MembershipMessage> m_mailbox;
+    GossipSocket m_socket;
+    MembershipService m_service;
+    Timer m_timer;
+    PauseDetector m_pauses;
+    // Several changes of one loop turn are published once.
+    bool m_hasChanges { false };
+};
+
+} // namespace Berylport
--- /dev/null
+++ b/Source/Node/NodeContext.h
@@ -0,0 +1,45 @@
+// What all tasks of one node share: identity, settings, ports, measures and the tracer.
+#pragma once
+
+#include "Base/Base.h"
+#include "Loop/Loop.h"
+#include "Metrics/Metrics.h"
+#include "Node/NodeMessages.h"
+#include "Settings/Settings.h"
+
+#include <memory>
+#include <opentracing/tracer.h>
+
+namespace Berylport {
+
+// State that operators ask for; each member is written by the task that owns it.
+struct NodeStatus {
+    GuardState guard { GuardState::Unconfirmed };
+    bool isDraining { false };
+    bool isStoreReachable { false };
+    bool isCoordinator { false };
+    uint64_t configurationVersion { 0 };
+    std::vector<MemberRecord> members;
+    std::vector<TargetRecord> targets;
+    CataloguePointer catalogue;
+    // Owned by the configuration task; null until it runs.
+    const ConfigurationStore* configuration { nullptr };
+    Instant startedAt;
+    // In-flight work by task; a drain is complete when all are zero.
+    size_t entryCalls { 0 };
+    size_t admittedCalls { 0 };
+};
+
+struct NodeContext {
+    EventLoop& loop;
+    const NodeSettings& settings;
+    NodeId self;
+    // Drawn at random at the start; parts of the node derive their own seeds from it.
+    uint64_t seed { 0 };
+    NodePorts ports;
+    MetricRegistry metrics;
+    std::shared_ptr<opentracing::Tracer> tracer;
+    NodeStatus status;
+};
+
+} // namespace Berylport
--- /dev/null
+++ b/Source/Node/NodeMessages.h
@@ -0,0 +1,233 @@
+// The messages that the tasks of one node send each other.
+#pragma once
+
+#include "Admission/Admission.h"
+#include "Base/Base.h"
+#include "Calls/CallActions.h"
+#include "Configuration/Configuration.h"
+#include "Node/Port.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <span>
+#include <variant>
+#include <vector>
+
+namespace Berylport {
+
+// All service definitions of one version; shared by the tasks and never changed.
+struct ServiceCatalogue {
+    uint64_t version { 0 };
+    std::map<ServiceName, ServiceDefinition> services;
+};
+using CataloguePointer = std::shared_ptr<const ServiceCatalogue>;
+
+struct CatalogueChanged {
+    CataloguePointer catalogue;
+};
+
+struct PauseNoticed {
+    Duration gap {};
+};
+
+// A graceful shutdown has begun.
+struct BeginDrain { };
+
+// --- to the entry task
+
+struct AttemptReplied {
+    CallReply reply;
+};
+// No byte of the attempt left this node.
+struct AttemptNotSent {
+    AttemptId id;
+};
+struct QueryReplied {
+    QueryReply reply;
+};
+struct QueryFailed {
+    AttemptId id;
+};
+struct TargetsChanged {
+    std::vector<TargetRecord> targets;
+};
+// The node with that id has ended; what it had started is lost.
+struct NodeGone {
+    NodeId node;
+};
+struct ServingChanged {
+    GuardState state { GuardState::Unconfirmed };
+};
+struct ParentFound {
+    CallId child;
+    Result<ParentAllowance, RefusalReason> allowance;
+};
+
+// A patient action to run as a call of its own; the answer goes back through the function.
+struct RunAction {
+    StartCall call;
+    TargetId target;
+    std::function<void(CallReply)> done;
+};
+
+using EntryMessage = std::variant<AttemptReplied, AttemptNotSent, QueryReplied, QueryFailed, TargetsChanged, CatalogueChanged,
+    NodeGone, ServingChanged, ParentFound, BeginDrain>;
+
+// --- to the target task
+
+struct OfferCall {
+    LinkId link;
+    CallRequest request;
+    std::function<void(CallReply)> reply;
+};
+struct CancelCall {
+    CallCancel cancel;
+};
+struct QueryCall {
+    LinkId link;
+    CallQuery query;
+    std::function<void(QueryReply)> reply;
+};
+struct LinkOpened {
+    LinkId link;
+};
+struct LinkClosed {
+    LinkId link;
+};
+// The link's peer has answered a ping sent after the pause with that number.
+struct LinkConfirmed {
+    LinkId link;
+    uint64_t pause { 0 };
+};
+// Asks what the child may inherit; the retry tokens are taken from the parent.
+struct FindParent {
+    CallId child;
+    CallId parent;
+};
+struct ReturnRetryTokens {
+    CallId parent;
+    uint32_t unused { 0 };
+};
+struct DrainTarget {
+    ServiceName service;
+    bool isDrained { true };
+    // False when no such target is on this VM.
+    std::function<void(bool isKnown)> done;
+};
+
+using TargetMessage = std::variant<OfferCall, CancelCall, QueryCall, LinkOpened, LinkClosed, LinkConfirmed, FindParent,
+    ReturnRetryTokens, DrainTarget, CatalogueChanged, BeginDrain>;
+
+// --- to the link task
+
+struct PeerBook {
+    std::map<NodeId, Endpoint> endpoints;
+};
+struct ConfirmLinks {
+    uint64_t pause { 0 };
+};
+struct FetchConfiguration {
+    NodeId node;
+    // Version held; the answer is what is missing since then.
+    uint64_t since { 0 };
+};
+enum class RemoteDrainError : uint8_t {
+    UnknownNode,
+    UnknownTarget,
+    Unreachable,
+};
+struct DrainRemoteTarget {
+    NodeId node;
+    ServiceName service;
+    bool isDrained { true };
+    std::function<void(Result<void, RemoteDrainError>)> done;
+};
+
+using LinkMessage = std::variant<SendAttempt, SendCancel, SendQuery, PeerBook, ConfirmLinks, FetchConfiguration, NodeGone,
+    DrainRemoteTarget, BeginDrain>;
+
+// --- to the membership task
+
+struct TargetsAnnounced {
+    std::vector<MemberTarget> targets;
+};
+struct VersionInForce {
+    uint64_t version { 0 };
+};
+struct CoordinatorHeld {
+    CoordinatorInfo coordinator;
+};
+struct SeedsFound {
+    std::vector<Endpoint> seeds;
+    // The table holds no row of another node.
+    bool isFirstNode { false };
+};
+
+using MembershipMessage
+    = std::variant<TargetsAnnounced, VersionInForce, CoordinatorHeld, RemindMembers, SeedsFound, BeginDrain>;
+
+// --- to the configuration task
+
+struct PeerVersion {
+    NodeId node;
+    uint64_t version { 0 };
+    bool isOwnZone { false };
+};
+struct ConfigurationFetched {
+    NodeId node;
+    ConfigurationDelta delta;
+    // The peer itself serves, so it holds at least what was accepted.
+    bool isServing { false };
+    Instant askedAt;
+};
+struct ConfigurationFetchFailed {
+    NodeId node;
+};
+struct ZoneMembersChanged {
+    std::vector<NodeId> present;
+};
+struct ZoneMemberLeft {
+    NodeId node;
+};
+struct TakenForDead { };
+struct ContactLost {
+    bool isCutOff { false };
+};
+struct ChangeFinished {
+    ChangeOutcome outcome { ChangeOutcome::Unresolved };
+    uint64_t version { 0 };
+    std::vector<ZoneName> missingZones;
+    std::string detail;
+};
+struct OperatorChange {
+    ChangeTracker::Request request;
+    std::function<void(ChangeFinished)> done;
+};
+struct ZoneListing {
+    bool isStoreReachable { false };
+    uint64_t headVersion { 0 };
+    std::vector<ZoneConfirmation> zones;
+};
+struct ListZones {
+    std::function<void(ZoneListing)> done;
+};
+struct RetireZone {
+    ZoneName zone;
+    // False when the store did not answer.
+    std::function<void(bool isDone)> done;
+};
+
+using ConfigurationMessage = std::variant<PeerVersion, ConfigurationFetched, ConfigurationFetchFailed, ZoneMembersChanged,
+    ZoneMemberLeft, TakenForDead, ContactLost, OperatorChange, ListZones, RetireZone, BeginDrain>;
+
+// Every task's address.
+struct NodePorts {
+    Port<EntryMessage> entry;
+    Port<TargetMessage> target;
+    Port<LinkMessage> link;
+    Port<MembershipMessage> membership;
+    Port<ConfigurationMessage> configuration;
+};
+
+} // namespace Berylport
--- /dev/null
+++ b/Source/Node/TargetTask.cpp
@@ -0,0 +1,531 @@
+// Runs what admission allows, and tells it what became of it.
+#include "Node/TargetTask.h"
+
+#include "Log/Log.h"
+#include "Node/CallerAnswers.h"
+#include "Trace/Trace.h"
+
+namespace Berylport {
+
+namespace {
+
+// Expiry of queued calls is timed by admission itself; announcements and probes need no finer grain than this.
+constexpr Duration checkInterval = std::chrono::milliseconds(250);
+
+// Request and answer of a health read with their headers, and the processor time of both.
+constexpr uint64_t probeBytes = 300;
+constexpr Duration probeCpu = std::chrono::microseconds(100);
+constexpr Duration probeTimeout = std::chrono::milliseconds(500);
+
+HttpResponse makeText(uint16_t status, std::string_view text)
+{
+    return { .status = status, .headers = { { .name = "Content-Type", .value = "text/plain" } }, .body = std::string(text) + "\n" };
+}
+
+uint64_t bytesOf(const HttpRequest& request)
+{
+    uint64_t n = request.method.size() + request.target.size() + request.body.size();
+    for (auto& it : request.headers)
+        n += it.name.size() + it.value.size();
+    return n;
+}
+
+uint64_t bytesOf(const HttpResponse& response)
+{
+    uint64_t n = response.body.size();
+    for (auto& it : response.headers)
+        n += it.name.size() + it.value.size();
+    return n;
+}
+
+MeasureOptions makeMeasureOptions(const MeasureSection& settings)
+{
+    MeasureOptions options;
+    options.bytesFraction = settings.byteShare;
+    options.cpuFraction = settings.cpuShare;
+    return options;
+}
+
+} // namespace
+
+TargetTask::TargetTask(NodeContext& context)
+    : Task(context.loop, "target")
+    , m_context(context)
+    , m_mailbox(context.loop, guarded([this](TargetMessage&& message) {
+        // Before anything is started, a pause within this loop turn must be known.
+        m_pauses.check();
+        std::visit([this](auto& it) { handle(std::move(it)); }, message);
+        wake();
+    }))
+    , m_server(context.loop.base(), guarded([this](HttpRequest request, const Endpoint& peer, Responder responder) {
+        localRequest(std::move(request), peer, std::move(responder));
+    }))
+    , m_timer(context.loop, guarded([this] { wake(); }))
+    , m_pauses(context.loop, {}, guarded([this](Duration gap) { pauseNoticed(gap); }))
+    , m_budget(makeMeasureOptions(context.settings.measure), steadyNow())
+    , m_catalogue(std::make_shared<ServiceCatalogue>())
+{
+}
+
+TargetTask::~TargetTask() = default;
+
+void TargetTask::start()
+{
+    auto endpoint = m_server.listen(m_context.settings.listen.local);
+    if (!endpoint)
+        throw std::runtime_error("local address " + toText(m_context.settings.listen.local) + ": " + std::string(toText(endpoint.error())));
+    m_context.ports.target.attach(&m_mailbox);
+    m_nextCheck = steadyNow();
+    wake();
+}
+
+void TargetTask::stop() noexcept
+{
+    m_context.ports.target.detach();
+    m_server.stopListening();
+    m_timer.stop();
+}
+
+LocalTarget* TargetTask::find(const ServiceName& service)
+{
+    auto it = m_targets.find(service);
+    return it == m_targets.end() ? nullptr : it->second.get();
+}
+
+LocalTarget& TargetTask::findOrCreate(const ServiceName& service)
+{
+    auto& target = m_targets[service];
+    if (target)
+        return *target;
+    target = std::make_unique<LocalTarget>(
+        m_context.loop.base(), m_context.self, service, m_context.settings.target, steadyNow());
+    for (LinkId it : m_links)
+        target->admission.linkOpened(it);
+    auto definition = m_catalogue->services.find(service);
+    if (definition != m_catalogue->services.end())
+        target->admission.setDefinition(definition->second);
+    if (m_isDraining) {
+        AdmissionActions actions;
+        target->admission.drain(steadyNow(), actions);
+    }
+    return *target;
+}
+
+template <typename Function> void TargetTask::forEach(Function&& function)
+{
+    for (auto& [service, target] : m_targets) {
+        AdmissionActions actions;
+        function(*target, actions);
+        perform(*target, actions);
+    }
+}
+
+// --- calls
+
+void TargetTask::handle(OfferCall&& offer)
+{
+    LocalTarget& target = findOrCreate(offer.request.service);
+    AttemptId id = offer.request.id;
+    m_budget.noteCallBytes(bytesOf(offer.request.http), steadyNow());
+    auto parent = findHeader(offer.request.http.headers, Header::traceParent).value_or(std::string_view());
+    auto span = startSpan(*m_context.tracer, "admission", parent);
+    span->SetTag("service", offer.request.service.text);
+    // A duplicate keeps the span of the first.
+    m_spans.try_emplace(id, std::move(span));
+    target.replies.add(offer.link, id, std::move(offer.reply));
+    AdmissionActions actions;
+    target.admission.offer(steadyNow(), offer.link, std::move(offer.request), actions);
+    perform(target, actions);
+}
+
+void TargetTask::handle(CancelCall&& message)
+{
+    // The service is not part of a cancel; at most one target knows the attempt.
+    forEach([&](LocalTarget& target, AdmissionActions& actions) {
+        target.admission.cancel(steadyNow(), message.cancel, actions);
+    });
+}
+
+void TargetTask::handle(QueryCall&& message)
+{
+    // Every target is asked, so that all write a tombstone for an attempt that none of them knows.
+    std::optional<QueryReply> found;
+    m_queryReply = [&](QueryReply reply) {
+        bool isRefusal = std::holds_alternative<CallRefused>(reply);
+        if (!found || !isRefusal)
+            found = std::move(reply);
+    };
+    forEach([&](LocalTarget& target, AdmissionActions& actions) {
+        target.admission.query(steadyNow(), message.link, message.query, actions);
+    });
+    m_queryReply = nullptr;
+    if (!found)
+        found = CallRefused { .id = message.query.id, .reason = RefusalReason::NoTarget };
+    message.reply(std::move(*found));
+}
+
+void TargetTask::handle(LinkOpened&& message)
+{
+    m_links.push_back(message.link);
+    bool areStartsHeld = false;
+    for (auto& [service, target] : m_targets) {
+        areStartsHeld |= target->admission.areStartsHeld();
+        target->admission.linkOpened(message.link);
+    }
+    if (areStartsHeld)
+        m_context.ports.link.post(ConfirmLinks { .pause = m_pause });
+}
+
+void TargetTask::handle(LinkClosed&& message)
+{
+    std::erase(m_links, message.link);
+    forEach([&](LocalTarget& target, AdmissionActions& actions) {
+        target.replies.dropLink(message.link);
+        target.admission.linkClosed(steadyNow(), message.link, actions);
+    });
+}
+
+void TargetTask::pauseNoticed(Duration gap)
+{
+    ++m_pause;
+    logEvent(Event::PauseDetected, { { "gap_ms", std::to_string(toMilliseconds(gap)) } });
+    m_context.metrics.add("berylport_pauses_total");
+    forEach([&](LocalTarget& target, AdmissionActions& actions) {
+        target.pause = target.admission.pauseDetected(steadyNow(), actions);
+    });
+    m_context.ports.link.post(ConfirmLinks { .pause = m_pause });
+}
+
+void TargetTask::handle(LinkConfirmed&& message)
+{
+    if (message.pause != m_pause)
+        return;
+    forEach([&](LocalTarget& target, AdmissionActions& actions) {
+        target.admission.linkConfirmed(steadyNow(), message.link, target.pause, actions);
+    });
+}
+
+void TargetTask::handle(FindParent&& message)
+{
+    Result<ParentAllowance, RefusalReason> result = RefusalReason::UnknownParent;
+    for (auto& [service, target] : m_targets) {
+        auto allowance = target->admission.findParent(steadyNow(), message.parent);
+        if (!allowance) {
+            if (allowance.error() != RefusalReason::UnknownParent)
+                result = allowance.error();
+            continue;
+        }
+        ParentAllowance granted = allowance.value();
+        granted.retryTokens = target->admission.takeRetryTokens(message.parent, granted.retryTokens);
+        result = granted;
+        break;
+    }
+    m_context.ports.entry.post(ParentFound { .child = message.child, .allowance = std::move(result) });
+}
+
+void TargetTask::handle(ReturnRetryTokens&& message)
+{
+    for (auto& [service, target] : m_targets)
+        target->admission.returnRetryTokens(message.parent, message.unused);
+}
+
+void TargetTask::handle(DrainTarget&& message)
+{
+    LocalTarget* target = find(message.service);
+    if (!target || !target->announcement) {
+        message.done(false);
+        return;
+    }
+    target->isDrainedByOperator = message.isDrained;
+    stateChanged(*target);
+    message.done(true);
+}
+
+void TargetTask::handle(CatalogueChanged&& message)
+{
+    m_catalogue = std::move(message.catalogue);
+    for (auto& [service, definition] : m_catalogue->services) {
+        if (LocalTarget* target = find(service))
+            target->admission.setDefinition(definition);
+    }
+}
+
+void TargetTask::handle(BeginDrain&&)
+{
+    m_isDraining = true;
+    forEach([](LocalTarget& target, AdmissionActions& actions) { target.admission.drain(steadyNow(), actions); });
+}
+
+// --- announcements
+
+void TargetTask::localRequest(HttpRequest request, const Endpoint&, Responder responder)
+{
+    if (request.target == "/metrics" && request.method == "GET") {
+        HttpResponse page = makeText(200, m_context.metrics.textPage(steadyNow()));
+        setHeader(page.headers, "Content-Type", "text/plain; version=0.0.4");
+        responder.answer(std::move(page));
+        return;
+    }
+    if (request.target != "/announce")
+        responder.answer(makeText(404, "only /announce and /metrics are here"));
+    else if (request.method == "POST")
+        announce(request, responder);
+    else if (request.method == "DELETE")
+        withdraw(request, responder);
+    else
+        responder.answer(makeText(405, "POST announces a target, DELETE withdraws it"));
+}
+
+void TargetTask::announce(const HttpRequest& request, const Responder& responder)
+{
+    auto announcement = parseAnnouncement(request.body);
+    if (!announcement) {
+        responder.answer(makeText(400, toText(announcement.error())));
+        return;
+    }
+    LocalTarget& target = findOrCreate(announcement.value().service);
+    if (!target.announcement) {
+        logEvent(Event::TargetAnnounced, { { "service", target.service.text },
+            { "port", std::to_string(announcement.value().port) } });
+    }
+    applyAnnouncement(target, announcement.value(), steadyNow());
+    responder.answer(makeText(200, toText(target.effectiveState())));
+}
+
+void TargetTask::withdraw(const HttpRequest& request, const Responder& responder)
+{
+    auto announcement = parseAnnouncement(request.body);
+    LocalTarget* target = announcement ? find(announcement.value().service) : nullptr;
+    if (!target || !target->announcement) {
+        responder.answer(makeText(404, "no target of that service is announced"));
+        return;
+    }
+    target->announcement->state = TargetState::Draining;
+    stateChanged(*target);
+    responder.answer(makeText(200, "draining"));
+}
+
+void TargetTask::applyAnnouncement(LocalTarget& target, const TargetAnnouncement& announcement, Instant now)
+{
+    TargetState before = target.effectiveState();
+    bool isOtherProcess = !target.announcement || target.announcement->port != announcement.port;
+    bool hasOtherSlots = !target.announcement || target.announcement->slots != announcement.slots;
+    target.announcement = announcement;
+    target.announcedAt = now;
+    target.isRefusing = false;
+    if (isOtherProcess) {
+        loseRunning(target, LossReason::TargetClosed);
+        target.connect(announcement.port);
+    }
+    if (hasOtherSlots) {
+        AdmissionActions actions;
+        target.admission.setSlots(now, announcement.slots, actions);
+        perform(target, actions);
+    }
+    if (before != target.effectiveState() || hasOtherSlots)
+        stateChanged(target);
+}
+
+void TargetTask::stateChanged(LocalTarget& target)
+{
+    ++target.stateVersion;
+    logEvent(Event::TargetStateChanged, { { "service", target.service.text },
+        { "state", std::string(toText(target.effectiveState())) } });
+    AdmissionActions actions;
+    target.admission.setTargetState(steadyNow(), target.effectiveState(), actions);
+    perform(target, actions);
+    publishTargets();
+}
+
+void TargetTask::publishTargets()
+{
+    TargetsAnnounced message;
+    for (auto& [service, target] : m_targets) {
+        if (!target->announcement)
+            continue;
+        message.targets.push_back({ .service = service,
+            .slots = target->announcement->slots,
+            .state = target->effectiveState(),
+            .stateVersion = target->stateVersion });
+    }
+    m_context.ports.membership.post(std::move(message));
+}
+
+void TargetTask::checkAnnouncements(Instant now)
+{
+    for (auto& [service, target] : m_targets) {
+        bool hasLapsed = target->announcement && now - target->announcedAt >= m_context.settings.target.announcementTimeout;
+        if (!hasLapsed)
+            continue;
+        target->announcement.reset();
+        stateChanged(*target);
+    }
+}
+
+// --- actions of admission
+
+void TargetTask::perform(LocalTarget& target, AdmissionActions& actions)
+{
+    for (auto& action : actions)
+        std::visit([&](auto& it) { perform(target, std::move(it)); }, action);
+}
+
+void TargetTask::perform(LocalTarget& target, StartOnTarget&& start)
+{
+    Instant now = steadyNow();
+    HttpRequest http = std::move(start.http);
+    setHeader(http.headers, Header::deadline, std::to_string(std::max<int64_t>(0, toMilliseconds(start.deadline - now))));
+    setHeader(http.headers, Header::parent, toText(start.id.call));
+    auto span = m_spans.find(start.id);
+    if (span != m_spans.end())
+        setHeader(http.headers, Header::traceParent, traceParentText(span->second->context()));
+    AttemptId id = start.id;
+    if (!target.client) {
+        targetFinished(target, id, RequestNotSent {});
+        return;
+    }
+    SendOptions options { .deadline = start.deadline, .isIdempotent = start.kind == RequestKind::Idempotent };
+    target.running[id] = target.client->send(std::move(http), options,
+        guarded([this, &target, id](SendResult result) { targetFinished(target, id, std::move(result)); }));
+}
+
+void TargetTask::perform(LocalTarget& target, CancelOnTarget&& cancel)
+{
+    auto it = target.running.find(cancel.id);
+    if (it == target.running.end())
+        return;
+    bool hasNotLeft = it->second.cancel();
+    SendResult result = RequestLost { .reason = LossReason::TargetClosed };
+    if (hasNotLeft)
+        result = RequestNotSent {};
+    targetFinished(target, cancel.id, std::move(result));
+}
+
+void TargetTask::perform(LocalTarget& target, Reply&& reply)
+{
+    AttemptId id = std::visit([](auto& it) { return it.id; }, reply.reply);
+    if (auto* refused = std::get_if<CallRefused>(&reply.reply)) {
+        m_context.metrics.add({ .name = "berylport_refusals_total", .labelName = "reason", .labelValue = std::string(toText(refused->reason)) });
+        logEvent(Event::AdmissionRefused, { { "call", toText(id.call) }, { "reason", std::string(toText(refused->reason)) } });
+    }
+    m_spans.erase(id);
+    if (auto function = target.replies.take(reply.link, id))
+        function(std::move(reply.reply));
+}
+
+void TargetTask::perform(LocalTarget&, AnswerQuery&& answer)
+{
+    if (m_queryReply)
+        m_queryReply(std::move(answer.reply));
+}
+
+void TargetTask::targetFinished(LocalTarget& target, const AttemptId& id, SendResult result)
+{
+    Instant now = steadyNow();
+    target.running.erase(id);
+    AdmissionActions actions;
+    if (auto* response = std::get_if<HttpResponse>(&result)) {
+        m_budget.noteCallBytes(bytesOf(*response), now);
+        if (response->status >= 500)
+            target.probe.noteCallFailed(now);
+        else
+            target.probe.noteCallSucceeded(now);
+        target.admission.targetAnswered(now, id, std::move(*response), actions);
+    } else if (auto* lost = std::get_if<RequestLost>(&result)) {
+        target.probe.noteCallFailed(now);
+        target.admission.targetLost(now, id, lost->reason, actions);
+    } else {
+        auto reason = std::get<RequestNotSent>(result).reason;
+        bool isRefused = reason == NotSentReason::ConnectFailed || reason == NotSentReason::ConnectTimeout;
+        if (isRefused && !target.isRefusing) {
+            target.isRefusing = true;
+            stateChanged(target);
+        }
+        target.admission.targetNotReached(now, id, actions);
+    }
+    perform(target, actions);
+    updateStatus();
+}
+
+void TargetTask::loseRunning(LocalTarget& target, LossReason reason)
+{
+    auto running = std::exchange(target.running, {});
+    for (auto& [id, handle] : running) {
+        bool hasNotLeft = handle.cancel();
+        SendResult result = RequestLost { .reason = reason };
+        if (hasNotLeft)
+            result = RequestNotSent { .reason = NotSentReason::PoolFull };
+        targetFinished(target, id, std::move(result));
+    }
+}
+
+// --- measuring
+
+void TargetTask::probeTargets(Instant now)
+{
+    for (auto& [service, target] : m_targets) {
+        bool isReachable = target->client && target->announcement && !target->isProbing;
+        if (!isReachable || !target->probe.isDue(now))
+            continue;
+        if (m_budget.mayMeasure(probeBytes, probeCpu, now)) {
+            probe(*target, now);
+            continue;
+        }
+        target->probe.noteReadRefused(now);
+        m_context.metrics.add("berylport_measuring_skipped_total");
+        logEvent(Event::MeasuringSkipped, { { "service", service.text } });
+    }
+}
+
+void TargetTask::probe(LocalTarget& target, Instant now)
+{
+    target.probe.noteReadStarted(now);
+    target.isProbing = true;
+    m_context.metrics.add("berylport_measuring_bytes_total", probeBytes);
+    HttpRequest request { .method = "GET", .target = "/health" };
+    target.client->send(std::move(request), { .deadline = now + probeTimeout, .isIdempotent = true },
+        guarded([this, &target](SendResult result) {
+            target.isProbing = false;
+            auto* response = std::get_if<HttpResponse>(&result);
+            HealthResult health = HealthResult::Unreadable;
+            if (response)
+                health = response->status == 200 ? HealthResult::Good : HealthResult::Bad;
+            target.probe.noteHealth(health, steadyNow());
+        }));
+}
+
+// --- time
+
+void TargetTask::wake()
+{
+    m_pauses.check();
+    Instant now = steadyNow();
+    forEach([&](LocalTarget& target, AdmissionActions& actions) { target.admission.tick(now, actions); });
+    if (now >= m_nextCheck) {
+        m_nextCheck = now + checkInterval;
+        checkAnnouncements(now);
+        probeTargets(now);
+    }
+    Instant next = m_nextCheck;
+    for (auto& [service, target] : m_targets) {
+        if (auto due = target->admission.nextWake())
+            next = std::min(next, *due);
+    }
+    m_timer.startAt(next);
+    updateStatus();
+}
+
+void TargetTask::updateStatus()
+{
+    size_t admitted = 0;
+    uint32_t running = 0;
+    for (auto& [service, target] : m_targets) {
+        LoadReport load = target->admission.load(steadyNow());
+        admitted += load.running + load.queued;
+        running += load.running;
+    }
+    m_context.status.admittedCalls = admitted;
+    m_context.metrics.set("berylport_slots_in_use", running);
+}
+
+} // namespace Berylport
--- /dev/null
+++ b/Source/Node/TargetTask.h
@@ -0,0 +1,81 @@
+// The receiver side of a node: admits calls for the targets on this VM, runs them, and listens to announcements.
+//
+// Its ledgers are what "at most once" and "not run" rest on, and they cannot be rebuilt. So a failure of this task ends
+// the whole process: the next one has another NodeId, and no node takes its word for what ran before.
+#pragma once
+
+#include "Node/LocalTarget.h"
+#include "Node/NodeContext.h"
+
+#include <map>
+
+namespace Berylport {
+
+class TargetTask : public Task {
+public:
+    explicit TargetTask(NodeContext&);
+    ~TargetTask() override;
+
+    void start() override;
+    void stop() noexcept override;
+
+private:
+    // --- messages
+    void handle(OfferCall&&);
+    void handle(CancelCall&&);
+    void handle(QueryCall&&);
+    void handle(LinkOpened&&);
+    void handle(LinkClosed&&);
+    void handle(LinkConfirmed&&);
+    void handle(FindParent&&);
+    void handle(ReturnRetryTokens&&);
+    void handle(DrainTarget&&);
+    void handle(CatalogueChanged&&);
+    void handle(BeginDrain&&);
+
+    // --- HTTP on loopback
+    void localRequest(HttpRequest, const Endpoint& peer, Responder);
+    void announce(const HttpRequest&, const Responder&);
+    void withdraw(const HttpRequest&, const Responder&);
+    void applyAnnouncement(LocalTarget&, const TargetAnnouncement&, Instant now);
+
+    // --- actions of admission
+    void perform(LocalTarget&, AdmissionActions&);
+    void perform(LocalTarget&, StartOnTarget&&);
+    void perform(LocalTarget&, CancelOnTarget&&);
+    void perform(LocalTarget&, Reply&&);
+    void perform(LocalTarget&, AnswerQuery&&);
+    void targetFinished(LocalTarget&, const AttemptId&, SendResult);
+    void loseRunning(LocalTarget&, LossReason);
+
+    LocalTarget& findOrCreate(const ServiceName&);
+    LocalTarget* find(const ServiceName&);
+    template <typename Function> void forEach(Function&&);
+    void pauseNoticed(Duration gap);
+    void stateChanged(LocalTarget&);
+    void publishTargets();
+    void checkAnnouncements(Instant now);
+    void probeTargets(Instant now);
+    void probe(LocalTarget&, Instant now);
+    void wake();
+    void updateStatus();
+
+    NodeContext& m_context;
+    Mailbox<TargetMessage> m_mailbox;
+    HttpServer m_server;
+    Timer m_timer;
+    PauseDetector m_pauses;
+    MeasureBudget m_budget;
+    std::map<ServiceName, std::unique_ptr<LocalTarget>> m_targets;
+    std::vector<LinkId> m_links;
+    CataloguePointer m_catalogue;
+    // Numbers the pauses of this node; every target has its own number for the same pause.
+    uint64_t m_pause { 0 };
+    bool m_isDraining { false };
+    Instant m_nextCheck;
+    std::unordered_map<AttemptId, std::unique_ptr<opentracing::Span>> m_spans;
+    // Replies of queries that wait for admission's answer, in the order of asking.
+    std::function<void(QueryReply)> m_queryReply;
+};
+
+} // namespace Berylport
--- a/Source/Peer/PeerServer.h
+++ b/Source/Peer/PeerServer.h
@@ -11,12 +11,6 @@
 
 namespace Berylport {
 
-// Names one accepted link of this process.
-struct LinkId {
-    uint64_t value { 0 };
-    auto operator<=>(const LinkId&) const = default;
-};
-
 struct LinkInfo {
     LinkId id;
     NodeId peer;
