Test loss, refusals, limits and pings of links; add PeerLinks and gossip

Cause: the sender must know whether a request may have left, and the port must withstand any input. Change: tests over a relay that can stop or cut a connection; PeerLinks (open on demand, backoff, idle close, limit) and GossipSocket with their codecs.

--- /dev/null
+++ b/Source/Peer/GossipCodec.cpp
@@ -0,0 +1,233 @@
+// Conversions for Gossip.capnp. Everything is checked on read.
+#include "Peer/CodecSupport.h"
+#include "Peer/GossipSocket.h"
+
+#include <Gossip.capnp.h>
+#include <arpa/inet.h>
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/io.h>
+
+namespace Berylport {
+
+using namespace Codec;
+
+namespace {
+
+constexpr uint16_t gossipProtocolVersion = 1;
+// A datagram of 1,400 bytes unpacks to much less unless it is forged.
+constexpr uint64_t maximumUnpackedWords = 8192;
+constexpr size_t maximumRecords = 128;
+constexpr size_t maximumTargets = 32;
+constexpr size_t v4Size = 4;
+constexpr size_t v6Size = 16;
+
+static_assert(static_cast<int>(Schema::MemberState::DEAD) == static_cast<int>(MemberState::Dead));
+static_assert(static_cast<int>(Schema::GossipTargetState::DOWN) == static_cast<int>(TargetState::Down));
+
+void writeEndpoint(Schema::GossipEndpoint::Builder builder, const Endpoint& endpoint)
+{
+    kj::byte buf[v6Size];
+    size_t size = 0;
+    if (inet_pton(AF_INET, endpoint.address.c_str(), buf) == 1)
+        size = v4Size;
+    else if (inet_pton(AF_INET6, endpoint.address.c_str(), buf) == 1)
+        size = v6Size;
+    require(size, "endpoint without an IP number");
+    builder.setAddress(kj::arrayPtr(buf, size));
+    builder.setPort(endpoint.port);
+}
+
+Endpoint readEndpoint(Schema::GossipEndpoint::Reader reader)
+{
+    auto address = reader.getAddress();
+    require(address.size() == v4Size || address.size() == v6Size, "invalid address");
+    require(reader.getPort(), "endpoint without a port");
+    char text[INET6_ADDRSTRLEN];
+    inet_ntop(address.size() == v4Size ? AF_INET : AF_INET6, address.begin(), text, sizeof text);
+    return { .address = text, .port = reader.getPort() };
+}
+
+void writeRecord(Schema::MemberRecord::Builder builder, const MemberRecord& record)
+{
+    builder.setNode(record.node.value);
+    writeEndpoint(builder.initGossip(), record.gossip);
+    writeEndpoint(builder.initPeer(), record.peer);
+    builder.setZone(textOf(record.zone.text));
+    builder.setRegion(textOf(record.region.text));
+    builder.setVersion(record.version);
+    builder.setState(static_cast<Schema::MemberState>(record.state));
+    builder.setConfigurationVersion(record.configurationVersion);
+    if (record.targets.empty())
+        return;
+    auto targets = builder.initTargets(static_cast<unsigned>(record.targets.size()));
+    unsigned i = 0;
+    for (const auto& it : record.targets) {
+        auto target = targets[i++];
+        target.setService(textOf(it.service.text));
+        target.setSlots(it.slots);
+        target.setState(static_cast<Schema::GossipTargetState>(it.state));
+        target.setStateVersion(it.stateVersion);
+    }
+}
+
+MemberTarget readTarget(Schema::MemberTarget::Reader reader)
+{
+    return {
+        .service = readName<struct ServiceNameTag>(reader.getService()),
+        .slots = reader.getSlots(),
+        .state = readEnum(reader.getState(), TargetState::Down),
+        .stateVersion = reader.getStateVersion(),
+    };
+}
+
+MemberRecord readRecord(Schema::MemberRecord::Reader reader)
+{
+    MemberRecord record;
+    record.node = NodeId { reader.getNode() };
+    require(!record.node.isNull(), "record without a node");
+    record.gossip = readEndpoint(reader.getGossip());
+    record.peer = readEndpoint(reader.getPeer());
+    record.zone = readName<struct ZoneNameTag>(reader.getZone());
+    record.region = readName<struct RegionNameTag>(reader.getRegion());
+    record.version = reader.getVersion();
+    record.state = readEnum(reader.getState(), MemberState::Dead);
+    record.configurationVersion = reader.getConfigurationVersion();
+    auto targets = reader.getTargets();
+    require(targets.size() <= maximumTargets, "too many targets");
+    for (auto it : targets)
+        record.targets.push_back(readTarget(it));
+    return record;
+}
+
+void writeContent(Schema::GossipMessage::Builder builder, const GossipContent& content)
+{
+    if (!content.records.empty()) {
+        auto records = builder.initRecords(static_cast<unsigned>(content.records.size()));
+        unsigned i = 0;
+        for (const auto& it : content.records)
+            writeRecord(records[i++], it);
+    }
+    if (content.digest)
+        builder.setDigest(kj::arrayPtr(content.digest->data(), content.digest->size()));
+    if (!content.requestedBuckets.empty()) {
+        const auto& buckets = content.requestedBuckets;
+        builder.setRequestedBuckets(kj::arrayPtr(buckets.data(), buckets.size()));
+    }
+    if (content.coordinator) {
+        auto coordinator = builder.initCoordinator();
+        coordinator.setZone(textOf(content.coordinator->zone.text));
+        coordinator.setFencingToken(content.coordinator->fencingToken);
+        coordinator.setNode(content.coordinator->node.value);
+    }
+}
+
+GossipContent readContent(Schema::GossipMessage::Reader reader)
+{
+    GossipContent content;
+    auto records = reader.getRecords();
+    require(records.size() <= maximumRecords, "too many records");
+    for (auto it : records)
+        content.records.push_back(readRecord(it));
+    auto digest = reader.getDigest();
+    require(!digest.size() || digest.size() == gossipBucketCount, "invalid digest");
+    if (digest.size()) {
+        content.digest.emplace();
+        for (unsigned i = 0; i < gossipBucketCount; ++i)
+            (*content.digest)[i] = digest[i];
+    }
+    auto buckets = reader.getRequestedBuckets();
+    require(buckets.size() <= gossipBucketCount, "too many buckets");
+    for (uint8_t it : buckets) {
+        require(it < gossipBucketCount, "invalid bucket");
+        content.requestedBuckets.push_back(it);
+    }
+    if (reader.hasCoordinator()) {
+        auto coordinator = reader.getCoordinator();
+        content.coordinator = CoordinatorInfo {
+            .zone = readName<struct ZoneNameTag>(coordinator.getZone()),
+            .fencingToken = coordinator.getFencingToken(),
+            .node = NodeId { coordinator.getNode() },
+        };
+    }
+    return content;
+}
+
+void writeKind(Schema::GossipMessage::Builder builder, const GossipPing&) { builder.setPing(); }
+
+void writeKind(Schema::GossipMessage::Builder builder, const GossipAck&) { builder.setAck(); }
+
+void writeKind(Schema::GossipMessage::Builder builder, const GossipPingRequest& message)
+{
+    auto request = builder.initPingRequest();
+    request.setTarget(message.target.value);
+    writeEndpoint(request.initEndpoint(), message.targetEndpoint);
+}
+
+GossipMessage readMessage(Schema::GossipMessage::Reader reader)
+{
+    require(reader.getProtocolVersion() == gossipProtocolVersion, "unknown protocol version");
+    uint64_t sequence = reader.getSequence();
+    NodeId sender { reader.getSender() };
+    require(!sender.isNull(), "message without a sender");
+    GossipContent content = readContent(reader);
+    switch (reader.which()) {
+    case Schema::GossipMessage::PING:
+        return GossipPing { .sequence = sequence, .sender = sender, .content = std::move(content) };
+    case Schema::GossipMessage::ACK:
+        return GossipAck { .sequence = sequence, .sender = sender, .content = std::move(content) };
+    case Schema::GossipMessage::PING_REQUEST:
+        break;
+    default:
+        throw Malformed("unknown kind of message");
+    }
+    auto request = reader.getPingRequest();
+    NodeId target { request.getTarget() };
+    require(!target.isNull(), "ping request without a target");
+    return GossipPingRequest {
+        .sequence = sequence,
+        .sender = sender,
+        .target = target,
+        .targetEndpoint = readEndpoint(request.getEndpoint()),
+        .content = std::move(content),
+    };
+}
+
+} // namespace
+
+Result<std::string, PeerError> encodeGossip(const GossipMessage& message)
+{
+    return decode<std::string>([&]() -> Result<std::string, PeerError> {
+        capnp::MallocMessageBuilder builder;
+        auto root = builder.initRoot<Schema::GossipMessage>();
+        root.setProtocolVersion(gossipProtocolVersion);
+        auto writeAll = [&root](const auto& it) {
+            root.setSequence(it.sequence);
+            root.setSender(it.sender.value);
+            writeContent(root, it.content);
+            writeKind(root, it);
+        };
+        std::visit(writeAll, message);
+        kj::VectorOutputStream stream;
+        capnp::writePackedMessage(stream, builder);
+        auto bytes = stream.getArray();
+        if (bytes.size() > maximumGossipBytes)
+            return PeerError::MessageTooLarge;
+        return std::string(reinterpret_cast<const char*>(bytes.begin()), bytes.size());
+    });
+}
+
+Result<GossipMessage, PeerError> decodeGossip(std::string_view datagram)
+{
+    if (datagram.size() > maximumGossipBytes)
+        return PeerError::MessageTooLarge;
+    return decode<GossipMessage>([&] {
+        capnp::ReaderOptions options;
+        options.traversalLimitInWords = maximumUnpackedWords;
+        kj::ArrayInputStream stream(kj::arrayPtr(reinterpret_cast<const kj::byte*>(datagram.data()), datagram.size()));
+        capnp::PackedMessageReader reader(stream, options);
+        return readMessage(reader.getRoot<Schema::GossipMessage>());
+    });
+}
+
+} // namespace Berylport
--- /dev/null
+++ b/Source/Peer/GossipSocket.cpp
@@ -0,0 +1,127 @@
+// The UDP socket of gossip.
+#include "Peer/GossipSocket.h"
+
+#include "Loop/FdWatcher.h"
+#include "Peer/Sockets.h"
+
+#include <cerrno>
+#include <unistd.h>
+#include <utility>
+
+namespace Berylport {
+
+namespace {
+
+// Datagrams read in one turn before others get theirs.
+constexpr int datagramsPerTurn = 64;
+
+} // namespace
+
+class GossipSocket::Private {
+public:
+    Private(EventLoop& loop, Receiver receiver)
+        : m_loop(loop)
+        , m_receiver(std::move(receiver))
+    {
+    }
+
+    ~Private() { close(); }
+
+    Result<Endpoint, PeerError> listen(const Endpoint&);
+    Result<size_t, PeerError> send(const Endpoint&, const GossipMessage&);
+    const GossipCounters& counters() const { return m_counters; }
+
+private:
+    void close();
+    void receiveAll();
+    void receive(const SocketAddress&, std::string_view datagram);
+
+    EventLoop& m_loop;
+    Receiver m_receiver;
+    int m_fd { -1 };
+    std::unique_ptr<FdWatcher> m_watcher;
+    GossipCounters m_counters;
+};
+
+void GossipSocket::Private::close()
+{
+    m_watcher.reset();
+    if (m_fd >= 0)
+        ::close(std::exchange(m_fd, -1));
+}
+
+Result<Endpoint, PeerError> GossipSocket::Private::listen(const Endpoint& endpoint)
+{
+    close();
+    auto fd = createDatagramSocket(endpoint);
+    if (!fd)
+        return fd.error();
+    m_fd = fd.value();
+    m_watcher = std::make_unique<FdWatcher>(m_loop, m_fd, FdInterest::Read, [this] { receiveAll(); });
+    m_watcher->start();
+    return localEndpoint(m_fd);
+}
+
+Result<size_t, PeerError> GossipSocket::Private::send(const Endpoint& to, const GossipMessage& message)
+{
+    auto address = toSocketAddress(to);
+    if (!address)
+        return PeerError::InvalidAddress;
+    auto datagram = encodeGossip(message);
+    if (!datagram)
+        return datagram.error();
+    const std::string& bytes = datagram.value();
+    ssize_t n = sendto(m_fd, bytes.data(), bytes.size(), MSG_NOSIGNAL, address->get(), address->size);
+    if (n < 0) {
+        ++m_counters.sendFailures;
+        return PeerError::SendFailed;
+    }
+    ++m_counters.sent;
+    m_counters.sentBytes += bytes.size();
+    return bytes.size();
+}
+
+void GossipSocket::Private::receiveAll()
+{
+    for (int i = 0; i < datagramsPerTurn && m_fd >= 0; ++i) {
+        // One byte more than allowed, so that a datagram that is too large shows.
+        char buf[maximumGossipBytes + 1];
+        SocketAddress from;
+        ssize_t n = recvfrom(m_fd, buf, sizeof buf, 0, from.get(), &from.size);
+        // An ICMP error of an earlier send is reported here and concerns no datagram.
+        if (n < 0 && (errno == EINTR || errno == ECONNREFUSED))
+            continue;
+        if (n < 0)
+            return;
+        receive(from, { buf, static_cast<size_t>(n) });
+    }
+}
+
+void GossipSocket::Private::receive(const SocketAddress& from, std::string_view datagram)
+{
+    ++m_counters.received;
+    m_counters.receivedBytes += datagram.size();
+    auto message = decodeGossip(datagram);
+    if (message)
+        m_receiver(toEndpoint(from), std::move(message).value());
+    else
+        ++m_counters.malformed;
+}
+
+GossipSocket::GossipSocket(EventLoop& loop, Receiver receiver)
+    : m_private(std::make_unique<Private>(loop, std::move(receiver)))
+{
+}
+
+GossipSocket::~GossipSocket() = default;
+
+Result<Endpoint, PeerError> GossipSocket::listen(const Endpoint& endpoint) { return m_private->listen(endpoint); }
+
+Result<size_t, PeerError> GossipSocket::send(const Endpoint& to, const GossipMessage& message)
+{
+    return m_private->send(to, message);
+}
+
+const GossipCounters& GossipSocket::counters() const { return m_private->counters(); }
+
+} // namespace Berylport
--- /dev/null
+++ b/Source/Peer/GossipSocket.h
@@ -0,0 +1,49 @@
+// Gossip datagrams: packed Cap'n Proto messages over UDP.
+#pragma once
+
+#include "Base/GossipMessages.h"
+#include "Base/Result.h"
+#include "Loop/EventLoop.h"
+#include "Peer/PeerError.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace Berylport {
+
+Result<std::string, PeerError> encodeGossip(const GossipMessage&);
+Result<GossipMessage, PeerError> decodeGossip(std::string_view);
+
+struct GossipCounters {
+    uint64_t sent { 0 };
+    uint64_t sentBytes { 0 };
+    uint64_t sendFailures { 0 };
+    uint64_t received { 0 };
+    uint64_t receivedBytes { 0 };
+    // Dropped: too large, not readable, or with a field out of range.
+    uint64_t malformed { 0 };
+};
+
+class GossipSocket {
+public:
+    using Receiver = std::function<void(const Endpoint& from, GossipMessage)>;
+
+    GossipSocket(EventLoop&, Receiver);
+    ~GossipSocket();
+    GossipSocket(const GossipSocket&) = delete;
+    GossipSocket& operator=(const GossipSocket&) = delete;
+
+    // Returns the endpoint with the actual port. Port zero lets the system choose.
+    Result<Endpoint, PeerError> listen(const Endpoint&);
+    // Returns the size of the datagram. MessageTooLarge above 1,400 bytes; nothing is sent then.
+    Result<size_t, PeerError> send(const Endpoint& to, const GossipMessage&);
+    const GossipCounters& counters() const;
+
+private:
+    class Private;
+    std::unique_ptr<Private> m_private;
+};
+
+} // namespace Berylport
--- a/Source/Peer/Peer.h
+++ b/Source/Peer/Peer.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include "Peer/ClockOffset.h"
+#include "Peer/GossipSocket.h"
 #include "Peer/PeerError.h"
 #include "Peer/PeerLink.h"
+#include "Peer/PeerLinks.h"
 #include "Peer/PeerServer.h"
--- a/Source/Peer/PeerLink.cpp
+++ b/Source/Peer/PeerLink.cpp
@@ -66,6 +66,8 @@
     void closeLater(PeerError);
     // Ends everything without events.
     void abandon();
+    // The owner is about to be gone; what was delivered but not yet called is dropped.
+    void dropDeliveries() { m_alive.reset(); }
 
     bool isOpen() const { return m_state == State::Open; }
     bool isClosed() const { return m_state == State::Closed; }
@@ -103,10 +105,13 @@
     void finishCall(const AttemptId&, CallResult&&);
     void onCallFailed(const AttemptId&, const kj::Exception&);
     void addRequest(Request&&);
+    // Calls a completion or an event in a later turn, unless the link has been destroyed by then.
+    void deliver(std::function<void()>);
     template <typename Response, typename Completion, typename Read>
     void await(uint64_t key, kj::Promise<Response>&&, Completion, Read);
 
     EventLoop& m_loop;
+    std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
     NodeId m_self;
     PeerAddress m_address;
     PeerLinkOptions m_options;
@@ -226,7 +231,7 @@
     for (auto& [key, request] : m_requests)
         request.start();
     if (m_events.opened)
-        m_loop.post(m_events.opened);
+        deliver(m_events.opened);
 }
 
 void PeerLink::Private::tick()
@@ -268,6 +273,14 @@
     m_loop.post([self = shared_from_this(), reason] { self->closeNow(reason); });
 }
 
+void PeerLink::Private::deliver(std::function<void()> function)
+{
+    m_loop.post([alive = std::weak_ptr<bool>(m_alive), function = std::move(function)] {
+        if (!alive.expired())
+            function();
+    });
+}
+
 void PeerLink::Private::abandon()
 {
     if (m_state == State::Closed)
@@ -301,12 +314,12 @@
         CallResult result = call.isWritten
             ? CallResult(CallReply(CallLost { .id = id, .reason = LossReason::LinkLost, .load = {} }))
             : CallResult(NotSent { id, reason });
-        m_loop.post([completion = std::move(call.completion), result = std::move(result)] { completion(result); });
+        deliver([completion = std::move(call.completion), result = std::move(result)] { completion(result); });
     }
     for (auto& [key, request] : requests)
         request.fail(reason);
     if (closed)
-        m_loop.post([closed = std::move(closed), reason] { closed(reason); });
+        deliver([closed = std::move(closed), reason] { closed(reason); });
 }
 
 void PeerLink::Private::send(CallRequest&& request, CallCompletion&& completion)
@@ -320,7 +333,7 @@
     else if (estimateSize(request) > m_options.maximumMessageBytes / 2)
         refusal = PeerError::MessageTooLarge;
     if (refusal) {
-        m_loop.post([completion = std::move(completion), result = NotSent { id, *refusal }] { completion(result); });
+        deliver([completion = std::move(completion), result = NotSent { id, *refusal }] { completion(result); });
         return;
     }
     m_calls.emplace(id, Call { .completion = std::move(completion) });
@@ -370,7 +383,7 @@
         return;
     auto completion = std::move(it->second.completion);
     m_calls.erase(it);
-    m_loop.post(
+    deliver(
         [completion = std::move(completion), result = std::move(result)]() mutable { completion(std::move(result)); });
 }
 
@@ -410,7 +423,7 @@
     auto finish = [this, key, completion](Outcome outcome) {
         // Absent when the end of the link has failed the request already.
         if (m_requests.erase(key))
-            m_loop.post([completion, outcome = std::move(outcome)] { completion(outcome); });
+            deliver([completion, outcome = std::move(outcome)] { completion(outcome); });
     };
     auto failed = [this, finish](kj::Exception&& e) {
         if (e.getType() == kj::Exception::Type::DISCONNECTED)
@@ -424,7 +437,7 @@
 void PeerLink::Private::query(CallQuery&& query, QueryCompletion&& completion)
 {
     uint64_t key = m_nextRequest;
-    auto fail = [this, completion](PeerError ec) { m_loop.post([completion, ec] { completion(ec); }); };
+    auto fail = [this, completion](PeerError ec) { deliver([completion, ec] { completion(ec); }); };
     auto start = [this, key, query, completion] {
         auto request = m_remote->queryRequest();
         write(request.initQuery(), query);
@@ -443,7 +456,7 @@
 void PeerLink::Private::fetchConfiguration(ConfigurationCompletion&& completion)
 {
     uint64_t key = m_nextRequest;
-    auto fail = [this, completion](PeerError ec) { m_loop.post([completion, ec] { completion(ec); }); };
+    auto fail = [this, completion](PeerError ec) { deliver([completion, ec] { completion(ec); }); };
     auto start = [this, key, completion] {
         auto read = [](capnp::Response<Schema::Peer::FetchConfigurationResults>& response) {
             return readConfiguration(response.getConfiguration());
@@ -457,7 +470,7 @@
 void PeerLink::Private::reportVersion(NodeId node, uint64_t version, ReportCompletion&& completion)
 {
     uint64_t key = m_nextRequest;
-    auto fail = [this, completion](PeerError ec) { m_loop.post([completion, ec] { completion(ec); }); };
+    auto fail = [this, completion](PeerError ec) { deliver([completion, ec] { completion(ec); }); };
     auto start = [this, key, node, version, completion] {
         auto request = m_remote->reportVersionRequest();
         request.setNode(node.value);
@@ -476,6 +489,7 @@
 
 PeerLink::~PeerLink()
 {
+    m_private->dropDeliveries();
     m_private->abandon();
     m_private->closeLater(PeerError::Closed);
 }
--- a/Source/Peer/PeerLink.h
+++ b/Source/Peer/PeerLink.h
@@ -14,7 +14,7 @@
     // Null when the node on the endpoint is not known yet; any node is then accepted.
     NodeId node;
     Endpoint endpoint;
-    bool operator==(const PeerAddress&) const = default;
+    auto operator<=>(const PeerAddress&) const = default;
 };
 
 // The request was never handed to the socket and never will be.
--- /dev/null
+++ b/Source/Peer/PeerLinks.cpp
@@ -0,0 +1,313 @@
+// The set of sending links.
+#include "Peer/PeerLinks.h"
+
+#include "Loop/Timer.h"
+#include "Peer/Backoff.h"
+
+#include <map>
+#include <unordered_set>
+#include <vector>
+
+namespace Berylport {
+
+class PeerLinks::Private {
+public:
+    Private(EventLoop& loop, NodeId self, uint64_t seed, PeerLinksOptions options, PeerLinksEvents events)
+        : m_loop(loop)
+        , m_self(self)
+        , m_random(seed)
+        , m_options(options)
+        , m_events(std::move(events))
+        , m_sweepTimer(loop, [this] { sweep(); })
+    {
+        m_sweepTimer.startPeriodic(options.sweepInterval);
+    }
+
+    void open(const PeerAddress&);
+    void send(const PeerAddress&, CallRequest&&, CallCompletion&&);
+    void cancel(const PeerAddress&, const CallCancel&);
+    void remove(const PeerAddress&, PeerError);
+    bool isOpen(const PeerAddress&) const;
+    size_t linkCount() const;
+
+    // Runs the request on the link of the peer, or completes it with the reason why there is none.
+    template <typename Completion, typename Use>
+    void withLink(const PeerAddress& address, Completion&& completion, Use use)
+    {
+        auto link = acquire(address);
+        if (link)
+            use(*link.value(), std::move(completion));
+        else
+            deliver([completion = std::move(completion), ec = link.error()] { completion(ec); });
+    }
+
+private:
+    struct Entry {
+        explicit Entry(const PeerLinksOptions& options)
+            : backoff(options.minimumBackoff, options.maximumBackoff)
+        {
+        }
+        // Null while the peer is not connected.
+        std::unique_ptr<PeerLink> link;
+        Backoff backoff;
+        Instant nextConnect;
+        Instant lastUsed;
+        Instant openedAt;
+        bool hasOpened { false };
+        // Tells the events of this link from those of an earlier one to the same peer.
+        uint64_t generation { 0 };
+    };
+    using Entries = std::map<PeerAddress, Entry>;
+
+    Result<PeerLink*, PeerError> acquire(const PeerAddress&);
+    bool makeRoom();
+    void connect(const PeerAddress&, Entry&);
+    Entry* find(const PeerAddress&, uint64_t generation);
+    void onOpened(const PeerAddress&, uint64_t generation);
+    void onClosed(const PeerAddress&, uint64_t generation, PeerError);
+    void release(const PeerLink*);
+    void sweep();
+    bool isIdle(const Entry&, Instant now) const;
+    void deliver(std::function<void()>);
+
+    EventLoop& m_loop;
+    NodeId m_self;
+    Random m_random;
+    PeerLinksOptions m_options;
+    PeerLinksEvents m_events;
+    Entries m_entries;
+    // Removed links that still report the end of their calls.
+    std::vector<std::unique_ptr<PeerLink>> m_ending;
+    uint64_t m_lastGeneration { 0 };
+    // Attempts without a result so far, over all links.
+    std::unordered_set<AttemptId> m_attempts;
+    Timer m_sweepTimer;
+    std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
+};
+
+Result<PeerLink*, PeerError> PeerLinks::Private::acquire(const PeerAddress& address)
+{
+    Instant now = steadyNow();
+    auto it = m_entries.find(address);
+    if (it != m_entries.end()) {
+        it->second.lastUsed = now;
+        if (it->second.link)
+            return it->second.link.get();
+        if (now < it->second.nextConnect)
+            return PeerError::BackingOff;
+    }
+    if (!makeRoom())
+        return PeerError::TooManyLinks;
+    it = m_entries.try_emplace(address, m_options).first;
+    it->second.lastUsed = now;
+    connect(address, it->second);
+    return it->second.link.get();
+}
+
+// Closes the link that has been without use for longest when all are taken. False when all have work.
+bool PeerLinks::Private::makeRoom()
+{
+    if (linkCount() < m_options.maximumLinks)
+        return true;
+    auto oldest = m_entries.end();
+    for (auto it = m_entries.begin(); it != m_entries.end(); ++it) {
+        bool isFree = it->second.link && !it->second.link->outstanding();
+        if (isFree && (oldest == m_entries.end() || it->second.lastUsed < oldest->second.lastUsed))
+            oldest = it;
+    }
+    if (oldest == m_entries.end())
+        return false;
+    remove(PeerAddress(oldest->first), PeerError::IdleClosed);
+    return true;
+}
+
+void PeerLinks::Private::connect(const PeerAddress& address, Entry& entry)
+{
+    uint64_t generation = ++m_lastGeneration;
+    entry.generation = generation;
+    entry.hasOpened = false;
+    PeerLinkEvents events {
+        .opened = [this, address, generation] { onOpened(address, generation); },
+        .closed = [this, address, generation](PeerError reason) { onClosed(address, generation, reason); },
+    };
+    entry.link = std::make_unique<PeerLink>(m_loop, m_self, address, m_options.link, std::move(events));
+}
+
+PeerLinks::Private::Entry* PeerLinks::Private::find(const PeerAddress& address, uint64_t generation)
+{
+    auto it = m_entries.find(address);
+    return it != m_entries.end() && it->second.generation == generation ? &it->second : nullptr;
+}
+
+void PeerLinks::Private::onOpened(const PeerAddress& address, uint64_t generation)
+{
+    Entry* entry = find(address, generation);
+    if (!entry)
+        return;
+    entry->hasOpened = true;
+    entry->openedAt = steadyNow();
+    if (m_events.opened)
+        m_events.opened(address);
+}
+
+void PeerLinks::Private::onClosed(const PeerAddress& address, uint64_t generation, PeerError reason)
+{
+    Instant now = steadyNow();
+    // Absent for a link that was removed.
+    if (Entry* entry = find(address, generation)) {
+        bool wasStable = entry->hasOpened && now - entry->openedAt >= m_options.stableTime;
+        entry->link.reset();
+        if (wasStable)
+            entry->backoff.reset();
+        entry->nextConnect = wasStable ? now : now + entry->backoff.next(m_random);
+    }
+    if (m_events.closed)
+        m_events.closed(address, reason);
+}
+
+void PeerLinks::Private::remove(const PeerAddress& address, PeerError reason)
+{
+    auto it = m_entries.find(address);
+    if (it == m_entries.end())
+        return;
+    auto link = std::move(it->second.link);
+    m_entries.erase(it);
+    if (!link)
+        return;
+    link->close(reason);
+    // The close runs first and posts its completions and events; the second post comes after them.
+    const PeerLink* key = link.get();
+    m_ending.push_back(std::move(link));
+    deliver([this, key] { deliver([this, key] { release(key); }); });
+}
+
+void PeerLinks::Private::release(const PeerLink* link)
+{
+    std::erase_if(m_ending, [link](const auto& it) { return it.get() == link; });
+}
+
+bool PeerLinks::Private::isIdle(const Entry& entry, Instant now) const
+{
+    bool hasWork = entry.link && entry.link->outstanding();
+    return !hasWork && now - entry.lastUsed >= m_options.idleTimeout;
+}
+
+void PeerLinks::Private::sweep()
+{
+    Instant now = steadyNow();
+    std::vector<PeerAddress> idle;
+    for (auto& [address, entry] : m_entries) {
+        if (entry.link && entry.link->outstanding())
+            entry.lastUsed = now;
+        if (isIdle(entry, now))
+            idle.push_back(address);
+        else if (!entry.link && now >= entry.nextConnect && linkCount() < m_options.maximumLinks)
+            connect(address, entry);
+    }
+    for (const auto& it : idle)
+        remove(it, PeerError::IdleClosed);
+}
+
+void PeerLinks::Private::deliver(std::function<void()> function)
+{
+    m_loop.post([alive = std::weak_ptr<bool>(m_alive), function = std::move(function)] {
+        if (!alive.expired())
+            function();
+    });
+}
+
+void PeerLinks::Private::open(const PeerAddress& address)
+{
+    // A failed link is tried again by the sweep; a peer without room is opened when it is used.
+    [[maybe_unused]] auto link = acquire(address);
+}
+
+void PeerLinks::Private::send(const PeerAddress& address, CallRequest&& request, CallCompletion&& completion)
+{
+    AttemptId id = request.id;
+    auto notSent = [&](PeerError ec) { deliver([completion, id, ec] { completion(NotSent { id, ec }); }); };
+    if (m_attempts.contains(id)) {
+        notSent(PeerError::DuplicateAttempt);
+        return;
+    }
+    auto link = acquire(address);
+    if (!link) {
+        notSent(link.error());
+        return;
+    }
+    m_attempts.insert(id);
+    auto finished
+        = [this, id, alive = std::weak_ptr<bool>(m_alive), completion = std::move(completion)](CallResult result) {
+              if (alive.expired())
+                  return;
+              m_attempts.erase(id);
+              completion(std::move(result));
+          };
+    link.value()->send(std::move(request), std::move(finished));
+}
+
+void PeerLinks::Private::cancel(const PeerAddress& address, const CallCancel& cancelled)
+{
+    auto it = m_entries.find(address);
+    if (it != m_entries.end() && it->second.link)
+        it->second.link->cancel(cancelled);
+}
+
+bool PeerLinks::Private::isOpen(const PeerAddress& address) const
+{
+    auto it = m_entries.find(address);
+    return it != m_entries.end() && it->second.link && it->second.link->isOpen();
+}
+
+size_t PeerLinks::Private::linkCount() const
+{
+    size_t n = 0;
+    for (const auto& [address, entry] : m_entries)
+        n += entry.link ? 1 : 0;
+    return n;
+}
+
+PeerLinks::PeerLinks(EventLoop& loop, NodeId self, uint64_t seed, PeerLinksOptions options, PeerLinksEvents events)
+    : m_private(std::make_unique<Private>(loop, self, seed, options, std::move(events)))
+{
+}
+
+PeerLinks::~PeerLinks() = default;
+
+void PeerLinks::open(const PeerAddress& address) { m_private->open(address); }
+
+void PeerLinks::send(const PeerAddress& address, CallRequest request, CallCompletion completion)
+{
+    m_private->send(address, std::move(request), std::move(completion));
+}
+
+void PeerLinks::cancel(const PeerAddress& address, const CallCancel& cancelled)
+{
+    m_private->cancel(address, cancelled);
+}
+
+void PeerLinks::query(const PeerAddress& address, CallQuery query, QueryCompletion completion)
+{
+    m_private->withLink(address, std::move(completion),
+        [&](PeerLink& link, QueryCompletion&& finished) { link.query(std::move(query), std::move(finished)); });
+}
+
+void PeerLinks::fetchConfiguration(const PeerAddress& address, ConfigurationCompletion completion)
+{
+    m_private->withLink(address, std::move(completion),
+        [](PeerLink& link, ConfigurationCompletion&& finished) { link.fetchConfiguration(std::move(finished)); });
+}
+
+void PeerLinks::reportVersion(const PeerAddress& address, NodeId node, uint64_t version, ReportCompletion completion)
+{
+    m_private->withLink(address, std::move(completion),
+        [&](PeerLink& link, ReportCompletion&& finished) { link.reportVersion(node, version, std::move(finished)); });
+}
+
+void PeerLinks::forget(const PeerAddress& address) { m_private->remove(address, PeerError::Closed); }
+
+bool PeerLinks::isOpen(const PeerAddress& address) const { return m_private->isOpen(address); }
+
+size_t PeerLinks::linkCount() const { return m_private->linkCount(); }
+
+} // namespace Berylport
--- a/tests/Peer/PeerLinkTest.cpp
+++ b/tests/Peer/PeerLinkTest.cpp
@@ -1,5 +1,6 @@
 // Guards the path of a call over a link: each caller gets its own reply, and loss is reported truthfully.
 #include "Peer/PeerTestSupport.h"
+#include "Peer/Relay.h"
 
 #include <arpa/inet.h>
 #include <gtest/gtest.h>
@@ -129,3 +130,339 @@
     for (uint64_t i = 0; i < 20; ++i)
         EXPECT_EQ(results.body(i), i % 2 ? "from a" : "from b");
 }
+
+// Fails when a cancellation is lost, or overtakes the call that it cancels.
+TEST_F(PeerLinkTest, CancelArrivesAfterItsCall)
+{
+    TestNode node(loop, b);
+    auto link = connect(node.address());
+    link->send(createCall(a, 1, b), results.completion(1));
+    ASSERT_TRUE(runUntil([&] { return link->isOpen(); }));
+    for (uint64_t i = 2; i < 50; ++i)
+        link->send(createCall(a, i, b), results.completion(i));
+    CallCancel cancelled { .id = createCall(a, 49, b).id };
+    link->cancel(cancelled);
+    ASSERT_TRUE(runUntil([&] { return node.handler.log.size() == 50; }));
+    EXPECT_EQ(node.handler.log[48], "call " + toText(cancelled.id.call));
+    EXPECT_EQ(node.handler.log[49], "cancel " + toText(cancelled.id.call));
+    auto& held = node.handler.held[48];
+    held.reply(
+        CallRefused { .id = held.request.id, .reason = RefusalReason::Cancelled, .retryAfter = 7ms, .load = {} });
+    ASSERT_TRUE(runUntil([&] { return results.bySequence.contains(49); }));
+    const auto& refused = std::get<CallRefused>(results.bySequence.at(49).value());
+    EXPECT_EQ(refused.reason, RefusalReason::Cancelled);
+    EXPECT_EQ(refused.retryAfter, 7ms);
+}
+
+// Fails when a request that is taken back before the link is open is sent all the same.
+TEST_F(PeerLinkTest, CancelBeforeTheLinkIsOpenMeansNotSent)
+{
+    TestNode node(loop, b);
+    auto link = connect(node.address());
+    link->send(createCall(a, 1, b), results.completion(1));
+    link->send(createCall(a, 2, b), results.completion(2));
+    link->cancel({ .id = createCall(a, 1, b).id });
+    ASSERT_TRUE(runUntil([&] { return results.bySequence.contains(1) && node.handler.held.size() == 1; }));
+    EXPECT_EQ(results.bySequence.at(1).error(), (NotSent { createCall(a, 1, b).id, PeerError::Cancelled }));
+    EXPECT_EQ(node.handler.held[0].request.id.call.sequence, 2u);
+}
+
+TEST_F(PeerLinkTest, RefusedConnectMeansNotSent)
+{
+    Endpoint closedPort;
+    {
+        TestNode node(loop, b);
+        closedPort = node.endpoint;
+    }
+    auto link = connect({ .node = b, .endpoint = closedPort });
+    link->send(createCall(a, 1, b), results.completion(1));
+    ASSERT_TRUE(runUntil([&] { return closeReasons.size() == 1 && results.bySequence.size() == 1; }));
+    EXPECT_EQ(closeReasons[0], PeerError::ConnectFailed);
+    EXPECT_EQ(results.bySequence.at(1).error().cause, PeerError::ConnectFailed);
+}
+
+// Fails when a peer that accepts the connection but does not answer holds its calls for ever.
+TEST_F(PeerLinkTest, PeerWithoutAnswerToHelloMeansNotSent)
+{
+    SilentListener listener;
+    PeerLinkOptions options = patientLinkOptions();
+    options.connectTimeout = 50ms;
+    auto link = connect({ .node = b, .endpoint = listener.endpoint }, options);
+    link->send(createCall(a, 1, b), results.completion(1));
+    ASSERT_TRUE(runUntil([&] { return closeReasons.size() == 1 && results.bySequence.size() == 1; }));
+    EXPECT_EQ(closeReasons[0], PeerError::ConnectTimeout);
+    EXPECT_TRUE(results.isNotSent(1));
+}
+
+// Fails when the loss of a request that the peer has received is reported as not sent (P3, P4).
+TEST_F(PeerLinkTest, LinkCutAfterTheRequestArrivedMeansCallLost)
+{
+    TestNode node(loop, b);
+    Relay relay(loop, node.endpoint);
+    auto link = connect({ .node = b, .endpoint = relay.endpoint });
+    link->send(createCall(a, 1, b), results.completion(1));
+    ASSERT_TRUE(runUntil([&] { return node.handler.held.size() == 1; }));
+    relay.cut();
+    ASSERT_TRUE(runUntil([&] { return results.bySequence.size() == 1 && closeReasons.size() == 1; }));
+    EXPECT_TRUE(results.isLinkLost(1));
+    EXPECT_EQ(closeReasons[0], PeerError::LinkLost);
+    // A request after the loss is certainly not sent.
+    link->send(createCall(a, 2, b), results.completion(2));
+    ASSERT_TRUE(runUntil([&] { return results.bySequence.size() == 2; }));
+    EXPECT_TRUE(results.isNotSent(2));
+    ASSERT_TRUE(runUntil([&] { return node.handler.closed.size() == 1; }));
+    // A late reply to the lost link must do no harm.
+    node.handler.held[0].reply(createAnswer(node.handler.held[0].request, "late"));
+    loop.runOnce(1ms);
+    EXPECT_EQ(node.handler.held.size(), 1u);
+}
+
+// Fails when a request that waited behind a full socket counts as lost, or one that has begun to leave as not sent.
+TEST_F(PeerLinkTest, RequestsBehindAFullSocketAreNotSent)
+{
+    constexpr uint64_t count = 64;
+    TestNode node(loop, b);
+    Relay relay(loop, node.endpoint);
+    auto link = connect({ .node = b, .endpoint = relay.endpoint });
+    ASSERT_TRUE(runUntil([&] { return openedCount == 1; }));
+    relay.pause();
+    std::string body(1'000'000, 'x');
+    for (uint64_t i = 0; i < count; ++i)
+        link->send(createCall(a, i, b, body), results.completion(i));
+    // Until the socket takes nothing more.
+    uint64_t written = 0;
+    do {
+        written = link->bytesWritten();
+        Timer pause(loop, [] {});
+        pause.startOnce(50ms);
+        loop.runUntil([&] { return !pause.isRunning(); }, testLimit);
+    } while (!written || written != link->bytesWritten());
+    EXPECT_LT(written, count * body.size());
+    link->close();
+    ASSERT_TRUE(runUntil([&] { return results.bySequence.size() == count; }));
+    relay.resume();
+    ASSERT_TRUE(runUntil([&] { return node.handler.closed.size() == 1; }));
+    uint64_t notSentCount = 0;
+    for (uint64_t i = 0; i < count; ++i) {
+        EXPECT_NE(results.isNotSent(i), results.isLinkLost(i));
+        notSentCount += results.isNotSent(i);
+    }
+    for (const auto& it : node.handler.held)
+        EXPECT_TRUE(results.isLinkLost(it.request.id.call.sequence));
+    EXPECT_GT(notSentCount, 0u);
+    EXPECT_LT(notSentCount, count);
+    // The messages before the one that is partly written are complete, so at most one more than that may be lost.
+    EXPECT_LE((count - notSentCount - 1) * body.size(), written);
+}
+
+// Fails when a call meant for a dead process reaches its successor on the same address.
+TEST_F(PeerLinkTest, AnotherNodeOnTheAddressIsRefused)
+{
+    TestNode node(loop, b);
+    NodeId former { 0xbb };
+    auto link = connect({ .node = former, .endpoint = node.endpoint });
+    link->send(createCall(a, 1, former), results.completion(1));
+    ASSERT_TRUE(runUntil([&] { return closeReasons.size() == 1 && results.bySequence.size() == 1; }));
+    EXPECT_EQ(closeReasons[0], PeerError::WrongNode);
+    EXPECT_EQ(results.bySequence.at(1).error().cause, PeerError::WrongNode);
+    EXPECT_EQ(node.server->counters().refusedHellos, 1u);
+    EXPECT_TRUE(node.handler.opened.empty());
+    EXPECT_TRUE(node.handler.log.empty());
+    EXPECT_EQ(openedCount, 0);
+}
+
+TEST_F(PeerLinkTest, UnknownNodeIdIsLearned)
+{
+    TestNode node(loop, b);
+    auto link = connect({ .node = {}, .endpoint = node.endpoint });
+    ASSERT_TRUE(runUntil([&] { return openedCount == 1; }));
+    EXPECT_EQ(link->peer(), b);
+}
+
+// Fails when a stopped peer keeps its link, and with it the calls sent to it, for ever.
+TEST_F(PeerLinkTest, PeerThatStopsAnsweringIsClosedByPings)
+{
+    TestNode node(loop, b);
+    Relay relay(loop, node.endpoint);
+    PeerLinkOptions options = patientLinkOptions();
+    options.pingInterval = 10ms;
+    options.silenceLimit = 1s;
+    auto link = connect({ .node = b, .endpoint = relay.endpoint }, options);
+    link->send(createCall(a, 1, b), results.completion(1));
+    ASSERT_TRUE(runUntil([&] { return node.handler.held.size() == 1; }));
+    EXPECT_TRUE(closeReasons.empty());
+    relay.pause();
+    ASSERT_TRUE(runUntil([&] { return closeReasons.size() == 1 && results.bySequence.size() == 1; }));
+    EXPECT_EQ(closeReasons[0], PeerError::PingTimeout);
+    EXPECT_TRUE(results.isLinkLost(1));
+}
+
+// Fails when the receiving end keeps the link of a peer that has stopped.
+TEST_F(PeerLinkTest, ServerClosesTheLinkOfASilentPeer)
+{
+    PeerServerOptions options;
+    options.checkInterval = 10ms;
+    options.silenceLimit = 1s;
+    TestNode node(loop, b, options);
+    Relay relay(loop, node.endpoint);
+    PeerLinkOptions linkOptions = patientLinkOptions();
+    linkOptions.pingInterval = 10ms;
+    auto link = connect({ .node = b, .endpoint = relay.endpoint }, linkOptions);
+    ASSERT_TRUE(runUntil([&] { return node.handler.opened.size() == 1; }));
+    relay.pause();
+    ASSERT_TRUE(runUntil([&] { return node.handler.closed.size() == 1; }));
+    EXPECT_EQ(node.server->counters().silentLinks, 1u);
+    EXPECT_EQ(node.server->connectionCount(), 0u);
+}
+
+// Fails when a duplicate id confuses the replies of two requests.
+TEST_F(PeerLinkTest, DuplicateAttemptIsRejectedLocally)
+{
+    TestNode node(loop, b);
+    auto link = connect(node.address());
+    link->send(createCall(a, 1, b), results.completion(1));
+    std::optional<CallResult> duplicate;
+    link->send(createCall(a, 1, b), [&](CallResult result) { duplicate = std::move(result); });
+    ASSERT_TRUE(runUntil([&] { return duplicate && node.handler.held.size() == 1; }));
+    EXPECT_EQ(duplicate->error().cause, PeerError::DuplicateAttempt);
+    node.handler.held[0].reply(createAnswer(node.handler.held[0].request, "first"));
+    ASSERT_TRUE(runUntil([&] { return results.bySequence.size() == 1; }));
+    EXPECT_EQ(results.body(1), "first");
+    EXPECT_EQ(node.handler.held.size(), 1u);
+}
+
+TEST_F(PeerLinkTest, TooLargeRequestIsNotSentAndTooLargeAnswerIsLost)
+{
+    TestNode node(loop, b);
+    node.handler.onCall = [](const CallRequest& request, const ReplyToCall& reply) {
+        reply(createAnswer(request, std::string(6'000'000, 'x')));
+    };
+    auto link = connect(node.address());
+    link->send(createCall(a, 1, b, std::string(6'000'000, 'x')), results.completion(1));
+    link->send(createCall(a, 2, b), results.completion(2));
+    ASSERT_TRUE(runUntil([&] { return results.bySequence.size() == 2; }));
+    EXPECT_EQ(results.bySequence.at(1).error().cause, PeerError::MessageTooLarge);
+    EXPECT_EQ(std::get<CallLost>(results.bySequence.at(2).value()).reason, LossReason::AnswerTooLarge);
+}
+
+// The largest messages of the design, 1 MiB in a request and 4 MiB in a response, must pass.
+TEST_F(PeerLinkTest, LargestMessagesPass)
+{
+    TestNode node(loop, b);
+    node.handler.onCall = [](const CallRequest& request, const ReplyToCall& reply) {
+        reply(createAnswer(request, std::string(4 * 1024 * 1024, 'y')));
+    };
+    auto link = connect(node.address());
+    link->send(createCall(a, 1, b, std::string(1024 * 1024, 'x')), results.completion(1));
+    ASSERT_TRUE(runUntil([&] { return results.bySequence.size() == 1; }));
+    EXPECT_EQ(results.body(1).size(), 4u * 1024 * 1024);
+}
+
+// Fails when a malformed request ends the link or the process. The header name is one that HTTP forbids.
+TEST_F(PeerLinkTest, MalformedRequestFailsAloneAndTheLinkStays)
+{
+    TestNode node(loop, b);
+    node.handler.onCall
+        = [](const CallRequest& request, const ReplyToCall& reply) { reply(createAnswer(request, "ok")); };
+    auto link = connect(node.address());
+    CallRequest malformed = createCall(a, 1, b);
+    malformed.http.headers[0].value = "1\r\nInjected: 2";
+    link->send(malformed, results.completion(1));
+    link->send(createCall(a, 2, b), results.completion(2));
+    ASSERT_TRUE(runUntil([&] { return results.bySequence.size() == 2; }));
+    EXPECT_EQ(std::get<CallLost>(results.bySequence.at(1).value()).reason, LossReason::AnswerMalformed);
+    EXPECT_EQ(results.body(2), "ok");
+    EXPECT_EQ(node.server->counters().malformedMessages, 1u);
+    EXPECT_TRUE(closeReasons.empty());
+}
+
+TEST_F(PeerLinkTest, QueriesReturnEveryKindOfReply)
+{
+    TestNode node(loop, b);
+    auto link = connect(node.address());
+    CallRequest request = createCall(a, 1, b);
+    CallQuery query { .id = request.id, .receiver = b, .deadline = request.deadline };
+    std::vector<QueryReply> replies { CallPending { .id = request.id }, createAnswer(request, "held"),
+        CallRefused { .id = request.id, .reason = RefusalReason::RefusedBefore, .retryAfter = {}, .load = {} },
+        CallLost { .id = request.id, .reason = LossReason::AnswerDropped, .load = {} } };
+    for (const auto& it : replies) {
+        node.handler.queryReply = it;
+        std::optional<Result<QueryReply, PeerError>> result;
+        link->query(query, [&](Result<QueryReply, PeerError> reply) { result = std::move(reply); });
+        ASSERT_TRUE(runUntil([&] { return result.has_value(); }));
+        ASSERT_TRUE(result->has_value());
+        EXPECT_EQ(result->value().index(), it.index());
+    }
+    EXPECT_EQ(node.handler.queries[0].id, request.id);
+    EXPECT_EQ(node.handler.queries[0].receiver, b);
+    EXPECT_LE(node.handler.queries[0].deadline, request.deadline);
+}
+
+TEST_F(PeerLinkTest, ConfigurationIsFetchedAndVersionReported)
+{
+    TestNode node(loop, b);
+    node.handler.snapshot.version = 42;
+    node.handler.snapshot.services = { { .name = ServiceName("bookings"), .queueLimit = 7, .version = 3 },
+        { .name = ServiceName("slotdesk"), .kind = RequestKind::Idempotent, .isHedged = true } };
+    auto link = connect(node.address());
+    std::optional<Result<ConfigurationSnapshot, PeerError>> fetched;
+    std::optional<Result<void, PeerError>> reported;
+    link->fetchConfiguration([&](Result<ConfigurationSnapshot, PeerError> result) { fetched = std::move(result); });
+    link->reportVersion(a, 41, [&](Result<void, PeerError> result) { reported = std::move(result); });
+    ASSERT_TRUE(runUntil([&] { return fetched && reported; }));
+    ASSERT_TRUE(fetched->has_value());
+    EXPECT_EQ(fetched->value(), node.handler.snapshot);
+    EXPECT_TRUE(reported->has_value());
+    EXPECT_EQ(node.handler.versions.at(a), 41u);
+}
+
+// Fails when the answer to a confirmation overtakes a cancellation that the peer had sent before (design, 4.2).
+TEST_F(PeerLinkTest, ConfirmationComesAfterEverythingSentBefore)
+{
+    TestNode node(loop, b);
+    auto link = connect(node.address());
+    ASSERT_TRUE(runUntil([&] { return node.handler.opened.size() == 1 && openedCount == 1; }));
+    constexpr size_t count = 200;
+    std::vector<size_t> seenAtConfirmation;
+    for (uint64_t i = 0; i < count; ++i)
+        link->cancel({ .id = createCall(a, i, b).id });
+    node.server->confirmLinks([&](const LinkInfo& info) {
+        EXPECT_EQ(info.peer, a);
+        seenAtConfirmation.push_back(node.handler.log.size());
+    });
+    ASSERT_TRUE(runUntil([&] { return !seenAtConfirmation.empty(); }));
+    EXPECT_EQ(seenAtConfirmation, std::vector<size_t> { count });
+}
+
+// Fails when a link is confirmed although its peer has not answered since.
+TEST_F(PeerLinkTest, LinkOfAStoppedPeerIsNotConfirmed)
+{
+    TestNode node(loop, b);
+    Relay relay(loop, node.endpoint);
+    auto stopped = connect({ .node = b, .endpoint = relay.endpoint });
+    ASSERT_TRUE(runUntil([&] { return node.handler.opened.size() == 1; }));
+    PeerLink running(loop, NodeId { 0xc }, node.address(), patientLinkOptions(), {});
+    ASSERT_TRUE(runUntil([&] { return node.handler.opened.size() == 2; }));
+    relay.pause();
+    std::vector<NodeId> confirmed;
+    node.server->confirmLinks([&](const LinkInfo& info) { confirmed.push_back(info.peer); });
+    ASSERT_TRUE(runUntil([&] { return !confirmed.empty(); }));
+    EXPECT_EQ(confirmed, std::vector { NodeId { 0xc } });
+    relay.resume();
+    ASSERT_TRUE(runUntil([&] { return confirmed.size() == 2; }));
+    EXPECT_EQ(confirmed[1], a);
+}
+
+// Fails when a completion or an event reaches an owner that has destroyed the link.
+TEST_F(PeerLinkTest, DestroyingALinkDropsItsCompletions)
+{
+    TestNode node(loop, b);
+    auto link = connect(node.address());
+    link->send(createCall(a, 1, b), results.completion(1));
+    ASSERT_TRUE(runUntil([&] { return node.handler.held.size() == 1; }));
+    link->close();
+    link.reset();
+    ASSERT_TRUE(runUntil([&] { return node.handler.closed.size() == 1; }));
+    EXPECT_TRUE(results.bySequence.empty());
+    EXPECT_TRUE(closeReasons.empty());
+}
