--- /dev/null
+++ b/tests/Peer/GossipSocketTest.cpp
@@ -0,0 +1,218 @@
+// Guards gossip datagrams: every field survives, the size is limited, and bad input is counted and dropped.
+#include "Peer/PeerTestSupport.h"
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <iostream>
+#include <netinet/in.h>
+#include <rapidcheck/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace Berylport;
+using namespace std::chrono_literals;
+
+namespace {
+
+MemberRecord createRecord(uint64_t n)
+{
+    MemberRecord record;
+    record.node = NodeId { 0x9e3779b97f4a7c15ull * (n + 1) };
+    record.gossip = { .address = "10.1.2." + std::to_string(n % 250), .port = 7001 };
+    record.peer = { .address = "10.1.2." + std::to_string(n % 250), .port = 7002 };
+    record.zone = ZoneName("kandy-a");
+    record.region = RegionName("central");
+    record.version = 17 + n;
+    record.state = static_cast<MemberState>(n % 4);
+    record.targets = {
+        { .service = ServiceName("slotdesk"), .slots = 10, .state = static_cast<TargetState>(n % 4), .stateVersion = n }
+    };
+    record.configurationVersion = 12345;
+    return record;
+}
+
+GossipContent createContent(size_t recordCount)
+{
+    GossipContent content;
+    for (size_t i = 0; i < recordCount; ++i)
+        content.records.push_back(createRecord(i));
+    return content;
+}
+
+GossipDigest createDigest()
+{
+    GossipDigest digest;
+    for (size_t i = 0; i < digest.size(); ++i)
+        digest[i] = static_cast<uint32_t>(0x9e3779b9u * (i + 1));
+    return digest;
+}
+
+std::vector<GossipMessage> createMessages()
+{
+    GossipContent full = createContent(3);
+    full.digest = createDigest();
+    full.requestedBuckets = { 0, 5, 63 };
+    full.coordinator = CoordinatorInfo { .zone = ZoneName("galle-a"), .fencingToken = 9, .node = NodeId { 4 } };
+    GossipContent v6 = createContent(1);
+    v6.records[0].gossip.address = "fd00::1";
+    return {
+        GossipPing { .sequence = 1, .sender = NodeId { 1 }, .content = {} },
+        GossipPing { .sequence = 2, .sender = NodeId { 1 }, .content = full },
+        GossipAck { .sequence = UINT64_MAX, .sender = NodeId { UINT64_MAX }, .content = v6 },
+        GossipPingRequest { .sequence = 3,
+            .sender = NodeId { 1 },
+            .target = NodeId { 2 },
+            .targetEndpoint = { .address = "10.0.0.1", .port = 1 },
+            .content = full },
+    };
+}
+
+} // namespace
+
+TEST(GossipCodec, MessagesReadBackUnchanged)
+{
+    for (const auto& it : createMessages()) {
+        auto bytes = encodeGossip(it);
+        ASSERT_TRUE(bytes.has_value());
+        auto read = decodeGossip(bytes.value());
+        ASSERT_TRUE(read.has_value());
+        EXPECT_EQ(read.value(), it);
+    }
+}
+
+// Fails when an encoded record grows beyond what the byte budget of the design assumes (about 80 bytes).
+TEST(GossipCodec, RecordTakesAboutEightyBytes)
+{
+    auto size = [](size_t records) {
+        return encodeGossip(
+            GossipPing { .sequence = 1, .sender = NodeId { 0x1234567890abcdef }, .content = createContent(records) })
+            .value()
+            .size();
+    };
+    size_t perRecord = (size(10) - size(2)) / 8;
+    RecordProperty("bytesPerRecord", static_cast<int>(perRecord));
+    std::cout << "one record takes " << perRecord << " bytes, an empty ping " << size(0) << "\n";
+    EXPECT_LE(perRecord, 110u);
+}
+
+// Fails when a digest and a full load of records no longer fit into one datagram.
+TEST(GossipCodec, DigestAndEightRecordsFit)
+{
+    GossipContent content = createContent(8);
+    content.digest = createDigest();
+    content.coordinator
+        = CoordinatorInfo { .zone = ZoneName("galle-a"), .fencingToken = 9, .node = NodeId { UINT64_MAX } };
+    EXPECT_TRUE(
+        encodeGossip(GossipPing { .sequence = 1, .sender = NodeId { UINT64_MAX }, .content = content }).has_value());
+}
+
+TEST(GossipCodec, TooLargeMessageIsNotEncoded)
+{
+    auto result = encodeGossip(GossipPing { .sequence = 1, .sender = NodeId { 1 }, .content = createContent(40) });
+    EXPECT_EQ(result.error(), PeerError::MessageTooLarge);
+}
+
+// Each of these would break an assumption of the membership module.
+TEST(GossipCodec, InvalidFieldsAreMalformed)
+{
+    auto isMalformed = [](const GossipMessage& message) {
+        auto bytes = encodeGossip(message);
+        return !bytes || !decodeGossip(bytes.value());
+    };
+    auto withRecord = [](const std::function<void(MemberRecord&)>& change) {
+        GossipPing ping { .sequence = 1, .sender = NodeId { 1 }, .content = createContent(1) };
+        change(ping.content.records[0]);
+        return GossipMessage(ping);
+    };
+    EXPECT_FALSE(isMalformed(withRecord([](MemberRecord&) {})));
+    EXPECT_TRUE(isMalformed(GossipPing { .sequence = 1, .sender = {}, .content = {} }));
+    EXPECT_TRUE(isMalformed(withRecord([](MemberRecord& it) { it.node = {}; })));
+    EXPECT_TRUE(isMalformed(withRecord([](MemberRecord& it) { it.peer.port = 0; })));
+    EXPECT_TRUE(isMalformed(withRecord([](MemberRecord& it) { it.peer.address = "localhost"; })));
+    EXPECT_TRUE(isMalformed(withRecord([](MemberRecord& it) { it.zone = ZoneName("Not Valid"); })));
+    EXPECT_TRUE(isMalformed(withRecord([](MemberRecord& it) { it.region = {}; })));
+    EXPECT_TRUE(isMalformed(withRecord([](MemberRecord& it) { it.state = static_cast<MemberState>(4); })));
+    EXPECT_TRUE(isMalformed(withRecord([](MemberRecord& it) { it.targets[0].state = static_cast<TargetState>(9); })));
+    EXPECT_TRUE(isMalformed(withRecord([](MemberRecord& it) { it.targets[0].service = {}; })));
+    EXPECT_TRUE(isMalformed(withRecord([](MemberRecord& it) { it.targets.resize(33, it.targets[0]); })));
+    GossipPing buckets { .sequence = 1, .sender = NodeId { 1 }, .content = {} };
+    buckets.content.requestedBuckets = { 64 };
+    EXPECT_TRUE(isMalformed(buckets));
+}
+
+// Fails when damaged or forged bytes crash the reader.
+RC_GTEST_PROP(GossipCodec, DamagedMessagesNeverCrash, ())
+{
+    auto messages = createMessages();
+    std::string bytes = encodeGossip(messages[*rc::gen::inRange<size_t>(0, messages.size())]).value();
+    auto damage = *rc::gen::container<std::vector<std::pair<size_t, uint8_t>>>(
+        rc::gen::pair(rc::gen::inRange<size_t>(0, bytes.size()), rc::gen::arbitrary<uint8_t>()));
+    for (auto [position, value] : damage)
+        bytes[position] = static_cast<char>(value);
+    bytes.resize(*rc::gen::inRange<size_t>(0, bytes.size() + 1));
+    (void)decodeGossip(bytes);
+}
+
+RC_GTEST_PROP(GossipCodec, RandomBytesNeverCrash, (const std::string& bytes)) { (void)decodeGossip(bytes); }
+
+TEST(GossipSocket, DatagramsArriveWithTheirSender)
+{
+    EventLoop loop;
+    std::vector<GossipMessage> received;
+    std::vector<Endpoint> senders;
+    GossipSocket left(loop, [](const Endpoint&, const GossipMessage&) {});
+    GossipSocket right(loop, [&](const Endpoint& from, GossipMessage message) {
+        senders.push_back(from);
+        received.push_back(std::move(message));
+    });
+    Endpoint leftEndpoint = left.listen({ .address = loopbackAddress, .port = 0 }).value();
+    Endpoint rightEndpoint = right.listen({ .address = loopbackAddress, .port = 0 }).value();
+    auto messages = createMessages();
+    for (const auto& it : messages)
+        EXPECT_TRUE(left.send(rightEndpoint, it).has_value());
+    ASSERT_TRUE(loop.runUntil([&] { return received.size() == messages.size(); }, testLimit));
+    EXPECT_EQ(received, messages);
+    EXPECT_EQ(senders[0], leftEndpoint);
+    EXPECT_EQ(left.counters().sent, messages.size());
+    EXPECT_EQ(left.counters().sentBytes, right.counters().receivedBytes);
+}
+
+// Fails when bad datagrams reach the receiver, are not counted, or stop the socket.
+TEST(GossipSocket, BadDatagramsAreCountedAndDropped)
+{
+    EventLoop loop;
+    size_t count = 0;
+    GossipSocket socket(loop, [&](const Endpoint&, const GossipMessage&) { ++count; });
+    Endpoint endpoint = socket.listen({ .address = loopbackAddress, .port = 0 }).value();
+    int fd = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(endpoint.port);
+    auto send = [&](const std::string& bytes) {
+        EXPECT_GE(sendto(fd, bytes.data(), bytes.size(), 0, reinterpret_cast<sockaddr*>(&address), sizeof address), 0);
+    };
+    std::string valid = encodeGossip(createMessages()[0]).value();
+    send("");
+    send("garbage");
+    send(valid.substr(0, valid.size() - 1));
+    send(std::string(60'000, '\0'));
+    // Valid at first sight, but one byte too long.
+    send(valid + std::string(maximumGossipBytes + 1 - valid.size(), '\0'));
+    send(valid);
+    ASSERT_TRUE(loop.runUntil([&] { return count == 1; }, testLimit));
+    EXPECT_EQ(socket.counters().received, 6u);
+    EXPECT_EQ(socket.counters().malformed, 5u);
+    close(fd);
+}
+
+TEST(GossipSocket, SendErrorsAreReported)
+{
+    EventLoop loop;
+    GossipSocket socket(loop, [](const Endpoint&, const GossipMessage&) {});
+    ASSERT_TRUE(socket.listen({ .address = loopbackAddress, .port = 0 }).has_value());
+    GossipPing large { .sequence = 1, .sender = NodeId { 1 }, .content = createContent(40) };
+    EXPECT_EQ(socket.send({ .address = loopbackAddress, .port = 1 }, large).error(), PeerError::MessageTooLarge);
+    EXPECT_EQ(
+        socket.send({ .address = "localhost", .port = 1 }, createMessages()[0]).error(), PeerError::InvalidAddress);
+}
