--- a/Source/Calls/CallCoordinator.cpp
+++ b/Source/Calls/CallCoordinator.cpp
@@ -21,6 +21,13 @@
     return reason == RefusalReason::UnknownParent || reason == RefusalReason::DepthExceeded;
 }
 
+// The node would refuse any other call as well.
+bool refusesAllCalls(RefusalReason reason)
+{
+    return reason == RefusalReason::Draining || reason == RefusalReason::NoTarget || reason == RefusalReason::WrongNode
+        || reason == RefusalReason::Unconfirmed;
+}
+
 } // namespace
 
 CallCoordinator::CallCoordinator(CallOptions options)
@@ -213,8 +220,11 @@
         ++m_counters.droppedReplies;
         return;
     }
+    auto& selector = route(*call).selector;
     if (attempt->isCounted)
-        route(*call).selector.noteRefused(attempt->selection.target, refused.load, now);
+        selector.noteRefused(attempt->selection.target, refused.load, now);
+    if (refusesAllCalls(refused.reason))
+        selector.noteUnavailable(attempt->selection.target, now);
     attempt->isCounted = false;
     attempt->state = AttemptState::NotRun;
     call->returnTokens(*attempt, 0);
@@ -363,7 +373,8 @@
     const auto& latency = route(call).latency;
     if (!call.isIdempotent() || !call.start().definition.isHedged || !latency.isKnown())
         return;
-    call.hedgeAt = now + latency.p95();
+    // Strictly later than p95, or a service with constant latency would hedge every call.
+    call.hedgeAt = now + latency.p95() + Duration(1);
     schedule(call);
 }
 
--- a/Source/Routing/RoutingOptions.h
+++ b/Source/Routing/RoutingOptions.h
@@ -68,11 +68,14 @@
     Duration otherZoneRoundTrip { std::chrono::milliseconds(3) };
     // Overrides otherZoneRoundTrip for the zones named.
     std::map<ZoneName, Duration> zoneRoundTrips;
-    // Weight of a new or readmitted target grows to 1 over this time.
+    // Weight of a new or readmitted target grows to 1 over this time. A target is considered with a chance equal to its
+    // weight; a score divided by the weight would leave it without any call until its score is the best.
     Duration slowStart { std::chrono::seconds(10) };
     double slowStartMinimumWeight { 0.1 };
     // Weight of a target that reports that it is warming up.
     double warmingUpWeight { 0.5 };
+    // A target that refuses all calls is tried again after this time, unless membership removes it before.
+    Duration unavailableTime { std::chrono::seconds(5) };
     // Share of the newest answer in a target's smoothed latency.
     double smoothing { 0.2 };
     // Service time assumed before any answer was seen.
--- a/Source/Routing/TargetSelector.cpp
+++ b/Source/Routing/TargetSelector.cpp
@@ -54,6 +54,8 @@
     auto fresh = makeView(record);
     if (view.record.state != TargetState::Ready && record.state == TargetState::Ready)
         view.rampStart = now;
+    if (record.state != TargetState::Ready)
+        view.unavailableUntil.reset();
     view.record = record;
     view.group = fresh.group;
     view.extraRoundTrip = fresh.extraRoundTrip;
@@ -122,7 +124,7 @@
 
 bool TargetSelector::isUsable(const TargetView& view) const
 {
-    if (view.record.state != TargetState::Ready || view.ejectedUntil)
+    if (view.record.state != TargetState::Ready || view.ejectedUntil || view.unavailableUntil)
         return false;
     return m_usesSuspects || !view.record.isSuspect;
 }
@@ -210,18 +212,20 @@
 {
     if (group.empty())
         return std::nullopt;
-    auto reported = [&](uint32_t n) { return (m_views[n].reportedLoad() + 1) / m_views[n].weight(m_options, now); };
-    return std::visit(
-        Overloaded {
-            [&](const FreshLoad& policy) {
-                return pickBest(group, policy.candidates, random, excluded,
-                    [&](uint32_t n) { return m_views[n].expectedMicroseconds(m_options, policy, m_meanLoad, now); });
-            },
-            [&](const RandomChoice&) { return drawByWeight(group, now, random, excluded); },
-            [&](const RoundRobin&) { return pickInTurn(group, now, random, excluded); },
-            [&](const LeastReported& policy) { return pickBest(group, policy.candidates, random, excluded, reported); },
-            [&](const TwoChoices&) { return pickBest(group, 2, random, excluded, reported); },
-        },
+    auto reported = [&](uint32_t n) { return m_views[n].reportedLoad(); };
+    return std::visit(Overloaded {
+                          [&](const FreshLoad& policy) {
+                              return pickBest(group, policy.candidates, now, random, excluded, [&](uint32_t n) {
+                                  return m_views[n].expectedMicroseconds(m_options, policy, m_meanLoad, now);
+                              });
+                          },
+                          [&](const RandomChoice&) { return drawByWeight(group, now, random, excluded); },
+                          [&](const RoundRobin&) { return pickInTurn(group, now, random, excluded); },
+                          [&](const LeastReported& policy) {
+                              return pickBest(group, policy.candidates, now, random, excluded, reported);
+                          },
+                          [&](const TwoChoices&) { return pickBest(group, 2, now, random, excluded, reported); },
+                      },
         m_options.policy);
 }
 
@@ -242,12 +246,19 @@
 }
 
 template <typename Score>
-std::optional<uint32_t> TargetSelector::pickBest(
-    const Indices& group, uint32_t candidates, Random& random, std::span<const TargetId> excluded, Score&& score)
+std::optional<uint32_t> TargetSelector::pickBest(const Indices& group, uint32_t candidates, Instant now, Random& random,
+    std::span<const TargetId> excluded, Score&& score)
 {
     std::optional<uint32_t> best;
+    // Used only when every candidate is in slow start and none has its turn.
+    std::optional<uint32_t> passedOver;
     double bestScore = std::numeric_limits<double>::infinity();
     auto consider = [&](uint32_t index) {
+        double weight = m_views[index].weight(m_options, now);
+        if (weight < 1 && !random.chance(weight)) {
+            passedOver = index;
+            return;
+        }
         double value = score(index);
         if (best && value >= bestScore)
             return;
@@ -262,13 +273,13 @@
             if (!isExcluded(index, excluded))
                 consider(index);
         }
-        return best;
+        return best ? best : passedOver;
     }
     for (uint32_t n = 0; n < candidates; ++n) {
         if (auto index = drawOne(group, random, excluded))
             consider(*index);
     }
-    return best;
+    return best ? best : passedOver;
 }
 
 std::optional<uint32_t> TargetSelector::drawOne(
@@ -358,6 +369,24 @@
     noteLoad(*view, load, now);
 }
 
+void TargetSelector::noteUnavailable(const TargetId& target, Instant now)
+{
+    auto* view = find(target);
+    if (!view)
+        return;
+    view->unavailableUntil = now + m_options.unavailableTime;
+    m_readmissions.push({ *view->unavailableUntil, target });
+    removeFromGroup(m_index.at(target));
+    useSuspectsIfNoneIsLeft();
+}
+
+void TargetSelector::endUnavailability(TargetView& view)
+{
+    view.unavailableUntil.reset();
+    if (isUsable(view) && !view.position)
+        addToGroup(m_index.at(view.record.id));
+}
+
 void TargetSelector::noteLost(const TargetId& target, Instant now)
 {
     auto* view = find(target);
@@ -439,6 +468,8 @@
         m_readmissions.pop();
         auto* view = find(due.target);
         // The target may have been removed, or readmitted and ejected again, since.
+        if (view && view->unavailableUntil == due.time)
+            endUnavailability(*view);
         if (view && view->ejectedUntil == due.time)
             readmit(*view, now);
     }
@@ -453,7 +484,7 @@
     view.latency = {};
     if (view.record.state == TargetState::Ready)
         --m_ejectedCount;
-    if (isUsable(view))
+    if (isUsable(view) && !view.position)
         addToGroup(m_index.at(view.record.id));
 }
 
--- a/Source/Routing/TargetSelector.h
+++ b/Source/Routing/TargetSelector.h
@@ -34,6 +34,8 @@
     void noteSent(const TargetId&, Instant now);
     void noteReply(const TargetId&, const LoadReport&, Duration latency, bool hasFailed, Instant now);
     void noteRefused(const TargetId&, const LoadReport&, Instant now);
+    // The target's node has said that it takes no calls at all, before membership did.
+    void noteUnavailable(const TargetId&, Instant now);
     // The answer cannot be had: counts as a failure.
     void noteLost(const TargetId&, Instant now);
     // No byte could be sent: counts as a failure.
@@ -76,13 +78,14 @@
     void eject(TargetView&, Instant now);
     void readmitDue(Instant now);
     void readmit(TargetView&, Instant now);
+    void endUnavailability(TargetView&);
     void readmitAbovePanicThreshold(Instant now);
 
     std::optional<uint32_t> pick(const Indices&, Instant now, Random&, std::span<const TargetId> excluded);
     std::optional<uint32_t> pickInTurn(const Indices&, Instant now, Random&, std::span<const TargetId> excluded);
     template <typename Score>
     std::optional<uint32_t> pickBest(
-        const Indices&, uint32_t candidates, Random&, std::span<const TargetId> excluded, Score&&);
+        const Indices&, uint32_t candidates, Instant now, Random&, std::span<const TargetId> excluded, Score&&);
     std::optional<uint32_t> drawOne(const Indices&, Random&, std::span<const TargetId> excluded) const;
     std::optional<uint32_t> drawByWeight(
         const Indices&, Instant now, Random&, std::span<const TargetId> excluded) const;
--- a/Source/Routing/TargetView.cpp
+++ b/Source/Routing/TargetView.cpp
@@ -40,7 +40,7 @@
     double occupied = estimatedLoad(policy, meanLoad, now);
     double waiting = std::max(0.0, occupied + 1 - slots) / slots;
     double factor = 1 + waiting + policy.occupancyWeight * std::min(1.0, occupied / slots);
-    return serviceTime * factor / weight(options, now) + static_cast<double>(extraRoundTrip.count());
+    return serviceTime * factor + static_cast<double>(extraRoundTrip.count());
 }
 
 void TargetView::takeReport(const LoadReport& report, Instant now)
--- a/Source/Routing/TargetView.h
+++ b/Source/Routing/TargetView.h
@@ -35,6 +35,8 @@
     std::optional<Instant> ejectedUntil;
     uint32_t ejections { 0 };
     Instant lastEjection;
+    // It refuses all calls; asked again then.
+    std::optional<Instant> unavailableUntil;
     // Position in the list of usable targets of its group; empty when it is not usable.
     std::optional<uint32_t> position;
 
