--- a/tests/Scenarios/Engine/World.cpp
+++ b/tests/Scenarios/Engine/World.cpp
@@ -14,23 +14,19 @@
 const ZoneName entryZone { "kandy-a" };
 const RegionName region { "central" };
 
-CallOptions makeCallOptions(uint64_t seed)
-{
-    CallOptions options;
-    options.routing.zone = entryZone;
-    options.routing.region = region;
-    options.seed = seed;
-    return options;
-}
-
 } // namespace
 
-World::World() = default;
+World::World(CallOptions options)
+    : m_options(std::move(options))
+{
+    m_options.routing.zone = entryZone;
+    m_options.routing.region = region;
+}
 
 void World::addEntry(const std::string& name)
 {
-    m_entries[name].coordinator = std::make_unique<CallCoordinator>(makeCallOptions(m_nextNode));
-    ++m_nextNode;
+    m_options.seed = m_nextNode++;
+    m_entries[name].coordinator = std::make_unique<CallCoordinator>(m_options);
     updateTargets();
 }
 
--- a/tests/Scenarios/Engine/World.h
+++ b/tests/Scenarios/Engine/World.h
@@ -29,7 +29,8 @@
 
 class World {
 public:
-    World();
+    // Zone, region and seed of the options are set for each entry node.
+    explicit World(CallOptions = {});
 
     void addEntry(const std::string& name);
     void addTarget(const std::string& name, const ServiceName&, TargetBehaviour, const ZoneName&);
@@ -107,6 +108,7 @@
     const std::string& nameOf(const TargetId&) const;
     CallRecord& recordOf(const CallId& id) { return m_calls.at(id.sequence); }
 
+    CallOptions m_options;
     Instant m_now;
     uint64_t m_sequence { 0 };
     std::map<EventKey, std::function<void()>> m_events;
