Add the platform clients, leases and the store stand-ins

Cause: leases, configuration and patient actions need the platform's table and object store, with their outages and lost confirmations, and tests need both without the platform. Change: Source/Platform has the abstract asynchronous clients, HTTP clients with a timeout, bounded queue and circuit breaker, WriteResolver (repeats a write of unknown result with its request token), WriteBudget and LeaseKeeper. The fencing token of a lease is the version of a second row that is written only when the holder changes, so a transaction can check it without racing renewals. berylport-table and berylport-objects take faults at run time over POST /control. The tests' fakes share the stand-ins' state classes.

--- /dev/null
+++ b/Source/Platform/PlatformError.h
@@ -0,0 +1,70 @@
+// Errors of the platform's stores, and the form of every completion callback.
+#pragma once
+
+#include "Base/Result.h"
+#include "Base/Time.h"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace Berylport {
+
+enum class PlatformErrorCode : uint8_t {
+    // The request was not carried out and will not be.
+    Unavailable,
+    // No answer came. A write may have taken effect or may still do so.
+    Timeout,
+    // A condition did not hold; the request changed nothing and will not.
+    Conflict,
+    NotFound,
+    // The store rejected the request as invalid, or the answer to a read was unreadable.
+    Malformed,
+    // Over the store's rate. The request was not carried out and will not be.
+    Throttled,
+};
+
+constexpr std::string_view toText(PlatformErrorCode code)
+{
+    switch (code) {
+    case PlatformErrorCode::Unavailable:
+        return "unavailable";
+    case PlatformErrorCode::Timeout:
+        return "timeout";
+    case PlatformErrorCode::Conflict:
+        return "conflict";
+    case PlatformErrorCode::NotFound:
+        return "not-found";
+    case PlatformErrorCode::Malformed:
+        return "malformed";
+    case PlatformErrorCode::Throttled:
+        return "throttled";
+    }
+    return "unknown";
+}
+
+struct PlatformError {
+    PlatformErrorCode code { PlatformErrorCode::Unavailable };
+    // Conflict only: the row whose condition failed and the version found there, zero when the row is absent.
+    std::string key {};
+    uint64_t versionFound { 0 };
+    // Throttled only.
+    Duration retryAfter {};
+    // For logs.
+    std::string text {};
+    bool operator==(const PlatformError&) const = default;
+};
+
+template <typename T> using PlatformResult = Result<T, PlatformError>;
+
+// Called once, later than the call that it completes and never from inside it, with the time of the completion. Not
+// called when the client is destroyed first.
+template <typename T> using Completion = std::function<void(Instant now, PlatformResult<T>)>;
+
+// Result of an operation that returns no data.
+struct Done {
+    bool operator==(const Done&) const = default;
+};
+
+} // namespace Berylport
--- /dev/null
+++ b/StandIns/Common/ServiceAnswers.h
@@ -0,0 +1,23 @@
+// Conversion of results to HTTP answers.
+#pragma once
+
+#include "Platform/StoreMessages.h"
+#include "StandIns/Common/StoreServer.h"
+
+namespace Berylport {
+
+template <typename T, typename Encode> ServiceAnswer toAnswer(const PlatformResult<T>& result, Encode encode)
+{
+    if (result)
+        return { .status = 200, .body = encode(result.value()) };
+    return { .status = statusOf(result.error().code), .body = encodeError(result.error()) };
+}
+
+inline ServiceAnswer malformedAnswer(StoreCounters& counters)
+{
+    ++counters.malformed;
+    PlatformError error { .code = PlatformErrorCode::Malformed, .text = "invalid request" };
+    return { .status = statusOf(error.code), .body = encodeError(error) };
+}
+
+} // namespace Berylport
