Make gossip records smaller

Cause: a record took 102 bytes packed, above the 80 bytes that the byte budget of gossip assumes. Change: addresses and ports are flat fields, and the peer address is left out when it equals the gossip address. Figures: one record with one target 102 -> 84 bytes.

--- a/Source/Peer/GossipCodec.cpp
+++ b/Source/Peer/GossipCodec.cpp
@@ -25,34 +25,42 @@
 static_assert(static_cast<int>(Schema::MemberState::DEAD) == static_cast<int>(MemberState::Dead));
 static_assert(static_cast<int>(Schema::GossipTargetState::DOWN) == static_cast<int>(TargetState::Down));
 
-void writeEndpoint(Schema::GossipEndpoint::Builder builder, const Endpoint& endpoint)
-{
+// The bytes of an IP number in network order.
+struct AddressBytes {
     kj::byte buf[v6Size];
-    size_t size = 0;
-    if (inet_pton(AF_INET, endpoint.address.c_str(), buf) == 1)
-        size = v4Size;
-    else if (inet_pton(AF_INET6, endpoint.address.c_str(), buf) == 1)
-        size = v6Size;
-    require(size, "endpoint without an IP number");
-    builder.setAddress(kj::arrayPtr(buf, size));
-    builder.setPort(endpoint.port);
+    size_t size { 0 };
+    capnp::Data::Reader reader() const { return kj::arrayPtr(buf, size); }
+};
+
+AddressBytes toBytes(const std::string& address)
+{
+    AddressBytes bytes;
+    if (inet_pton(AF_INET, address.c_str(), bytes.buf) == 1)
+        bytes.size = v4Size;
+    else if (inet_pton(AF_INET6, address.c_str(), bytes.buf) == 1)
+        bytes.size = v6Size;
+    require(bytes.size, "endpoint without an IP number");
+    return bytes;
 }
 
-Endpoint readEndpoint(Schema::GossipEndpoint::Reader reader)
+Endpoint toEndpoint(capnp::Data::Reader address, uint16_t port)
 {
-    auto address = reader.getAddress();
     require(address.size() == v4Size || address.size() == v6Size, "invalid address");
-    require(reader.getPort(), "endpoint without a port");
+    require(port, "endpoint without a port");
     char text[INET6_ADDRSTRLEN];
     inet_ntop(address.size() == v4Size ? AF_INET : AF_INET6, address.begin(), text, sizeof text);
-    return { .address = text, .port = reader.getPort() };
+    return { .address = text, .port = port };
 }
 
 void writeRecord(Schema::MemberRecord::Builder builder, const MemberRecord& record)
 {
     builder.setNode(record.node.value);
-    writeEndpoint(builder.initGossip(), record.gossip);
-    writeEndpoint(builder.initPeer(), record.peer);
+    builder.setGossipAddress(toBytes(record.gossip.address).reader());
+    builder.setGossipPort(record.gossip.port);
+    AddressBytes peerAddress = toBytes(record.peer.address);
+    if (record.peer.address != record.gossip.address)
+        builder.setPeerAddress(peerAddress.reader());
+    builder.setPeerPort(record.peer.port);
     builder.setZone(textOf(record.zone.text));
     builder.setRegion(textOf(record.region.text));
     builder.setVersion(record.version);
@@ -86,8 +94,10 @@
     MemberRecord record;
     record.node = NodeId { reader.getNode() };
     require(!record.node.isNull(), "record without a node");
-    record.gossip = readEndpoint(reader.getGossip());
-    record.peer = readEndpoint(reader.getPeer());
+    auto gossipAddress = reader.getGossipAddress();
+    record.gossip = toEndpoint(gossipAddress, reader.getGossipPort());
+    auto peerAddress = reader.hasPeerAddress() ? reader.getPeerAddress() : gossipAddress;
+    record.peer = toEndpoint(peerAddress, reader.getPeerPort());
     record.zone = readName<struct ZoneNameTag>(reader.getZone());
     record.region = readName<struct RegionNameTag>(reader.getRegion());
     record.version = reader.getVersion();
@@ -161,7 +171,9 @@
 {
     auto request = builder.initPingRequest();
     request.setTarget(message.target.value);
-    writeEndpoint(request.initEndpoint(), message.targetEndpoint);
+    auto endpoint = request.initEndpoint();
+    endpoint.setAddress(toBytes(message.targetEndpoint.address).reader());
+    endpoint.setPort(message.targetEndpoint.port);
 }
 
 GossipMessage readMessage(Schema::GossipMessage::Reader reader)
@@ -183,12 +195,13 @@
     }
     auto request = reader.getPingRequest();
     NodeId target { request.getTarget() };
+    auto endpoint = request.getEndpoint();
     require(!target.isNull(), "ping request without a target");
     return GossipPingRequest {
         .sequence = sequence,
         .sender = sender,
         .target = target,
-        .targetEndpoint = readEndpoint(request.getEndpoint()),
+        .targetEndpoint = toEndpoint(endpoint.getAddress(), endpoint.getPort()),
         .content = std::move(content),
     };
 }
--- a/Source/Schema/Generated/Gossip.capnp.h
+++ b/Source/Schema/Generated/Gossip.capnp.h
@@ -348,11 +348,11 @@
 
   inline  ::uint64_t getNode() const;
 
-  inline bool hasGossip() const;
-  inline  ::Berylport::Schema::GossipEndpoint::Reader getGossip() const;
+  inline bool hasGossipAddress() const;
+  inline  ::capnp::Data::Reader getGossipAddress() const;
 
-  inline bool hasPeer() const;
-  inline  ::Berylport::Schema::GossipEndpoint::Reader getPeer() const;
+  inline bool hasPeerAddress() const;
+  inline  ::capnp::Data::Reader getPeerAddress() const;
 
   inline bool hasZone() const;
   inline  ::capnp::Text::Reader getZone() const;
@@ -369,6 +369,10 @@
 
   inline  ::uint64_t getConfigurationVersion() const;
 
+  inline  ::uint16_t getGossipPort() const;
+
+  inline  ::uint16_t getPeerPort() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -400,19 +404,19 @@
   inline  ::uint64_t getNode();
   inline void setNode( ::uint64_t value);
 
-  inline bool hasGossip();
-  inline  ::Berylport::Schema::GossipEndpoint::Builder getGossip();
-  inline void setGossip( ::Berylport::Schema::GossipEndpoint::Reader value);
-  inline  ::Berylport::Schema::GossipEndpoint::Builder initGossip();
-  inline void adoptGossip(::capnp::Orphan< ::Berylport::Schema::GossipEndpoint>&& value);
-  inline ::capnp::Orphan< ::Berylport::Schema::GossipEndpoint> disownGossip();
+  inline bool hasGossipAddress();
+  inline  ::capnp::Data::Builder getGossipAddress();
+  inline void setGossipAddress( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initGossipAddress(unsigned int size);
+  inline void adoptGossipAddress(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownGossipAddress();
 
-  inline bool hasPeer();
-  inline  ::Berylport::Schema::GossipEndpoint::Builder getPeer();
-  inline void setPeer( ::Berylport::Schema::GossipEndpoint::Reader value);
-  inline  ::Berylport::Schema::GossipEndpoint::Builder initPeer();
-  inline void adoptPeer(::capnp::Orphan< ::Berylport::Schema::GossipEndpoint>&& value);
-  inline ::capnp::Orphan< ::Berylport::Schema::GossipEndpoint> disownPeer();
+  inline bool hasPeerAddress();
+  inline  ::capnp::Data::Builder getPeerAddress();
+  inline void setPeerAddress( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initPeerAddress(unsigned int size);
+  inline void adoptPeerAddress(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownPeerAddress();
 
   inline bool hasZone();
   inline  ::capnp::Text::Builder getZone();
@@ -444,6 +448,12 @@
   inline  ::uint64_t getConfigurationVersion();
   inline void setConfigurationVersion( ::uint64_t value);
 
+  inline  ::uint16_t getGossipPort();
+  inline void setGossipPort( ::uint16_t value);
+
+  inline  ::uint16_t getPeerPort();
+  inline void setPeerPort( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -462,8 +472,6 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Berylport::Schema::GossipEndpoint::Pipeline getGossip();
-  inline  ::Berylport::Schema::GossipEndpoint::Pipeline getPeer();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -942,81 +950,71 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool MemberRecord::Reader::hasGossip() const {
+inline bool MemberRecord::Reader::hasGossipAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool MemberRecord::Builder::hasGossip() {
+inline bool MemberRecord::Builder::hasGossipAddress() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Berylport::Schema::GossipEndpoint::Reader MemberRecord::Reader::getGossip() const {
-  return ::capnp::_::PointerHelpers< ::Berylport::Schema::GossipEndpoint>::get(_reader.getPointerField(
+inline  ::capnp::Data::Reader MemberRecord::Reader::getGossipAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Berylport::Schema::GossipEndpoint::Builder MemberRecord::Builder::getGossip() {
-  return ::capnp::_::PointerHelpers< ::Berylport::Schema::GossipEndpoint>::get(_builder.getPointerField(
+inline  ::capnp::Data::Builder MemberRecord::Builder::getGossipAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::Berylport::Schema::GossipEndpoint::Pipeline MemberRecord::Pipeline::getGossip() {
-  return  ::Berylport::Schema::GossipEndpoint::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void MemberRecord::Builder::setGossip( ::Berylport::Schema::GossipEndpoint::Reader value) {
-  ::capnp::_::PointerHelpers< ::Berylport::Schema::GossipEndpoint>::set(_builder.getPointerField(
+inline void MemberRecord::Builder::setGossipAddress( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Berylport::Schema::GossipEndpoint::Builder MemberRecord::Builder::initGossip() {
-  return ::capnp::_::PointerHelpers< ::Berylport::Schema::GossipEndpoint>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder MemberRecord::Builder::initGossipAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void MemberRecord::Builder::adoptGossip(
-    ::capnp::Orphan< ::Berylport::Schema::GossipEndpoint>&& value) {
-  ::capnp::_::PointerHelpers< ::Berylport::Schema::GossipEndpoint>::adopt(_builder.getPointerField(
+inline void MemberRecord::Builder::adoptGossipAddress(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Berylport::Schema::GossipEndpoint> MemberRecord::Builder::disownGossip() {
-  return ::capnp::_::PointerHelpers< ::Berylport::Schema::GossipEndpoint>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Data> MemberRecord::Builder::disownGossipAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool MemberRecord::Reader::hasPeer() const {
+inline bool MemberRecord::Reader::hasPeerAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool MemberRecord::Builder::hasPeer() {
+inline bool MemberRecord::Builder::hasPeerAddress() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Berylport::Schema::GossipEndpoint::Reader MemberRecord::Reader::getPeer() const {
-  return ::capnp::_::PointerHelpers< ::Berylport::Schema::GossipEndpoint>::get(_reader.getPointerField(
+inline  ::capnp::Data::Reader MemberRecord::Reader::getPeerAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::Berylport::Schema::GossipEndpoint::Builder MemberRecord::Builder::getPeer() {
-  return ::capnp::_::PointerHelpers< ::Berylport::Schema::GossipEndpoint>::get(_builder.getPointerField(
+inline  ::capnp::Data::Builder MemberRecord::Builder::getPeerAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::Berylport::Schema::GossipEndpoint::Pipeline MemberRecord::Pipeline::getPeer() {
-  return  ::Berylport::Schema::GossipEndpoint::Pipeline(_typeless.getPointerField(1));
-}
-#endif  // !CAPNP_LITE
-inline void MemberRecord::Builder::setPeer( ::Berylport::Schema::GossipEndpoint::Reader value) {
-  ::capnp::_::PointerHelpers< ::Berylport::Schema::GossipEndpoint>::set(_builder.getPointerField(
+inline void MemberRecord::Builder::setPeerAddress( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::Berylport::Schema::GossipEndpoint::Builder MemberRecord::Builder::initPeer() {
-  return ::capnp::_::PointerHelpers< ::Berylport::Schema::GossipEndpoint>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder MemberRecord::Builder::initPeerAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void MemberRecord::Builder::adoptPeer(
-    ::capnp::Orphan< ::Berylport::Schema::GossipEndpoint>&& value) {
-  ::capnp::_::PointerHelpers< ::Berylport::Schema::GossipEndpoint>::adopt(_builder.getPointerField(
+inline void MemberRecord::Builder::adoptPeerAddress(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Berylport::Schema::GossipEndpoint> MemberRecord::Builder::disownPeer() {
-  return ::capnp::_::PointerHelpers< ::Berylport::Schema::GossipEndpoint>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Data> MemberRecord::Builder::disownPeerAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
@@ -1164,6 +1162,34 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t MemberRecord::Reader::getGossipPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t MemberRecord::Builder::getGossipPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void MemberRecord::Builder::setGossipPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t MemberRecord::Reader::getPeerPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t MemberRecord::Builder::getPeerPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void MemberRecord::Builder::setPeerPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Coordinator::Reader::hasZone() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Source/Schema/Gossip.capnp
+++ b/Source/Schema/Gossip.capnp
@@ -33,14 +33,18 @@
 
 struct MemberRecord {
   node @0 :UInt64;
-  gossip @1 :GossipEndpoint;
-  peer @2 :GossipEndpoint;
+  # 4 or 16 bytes in network order. Flat, as a GossipEndpoint each would take 22 bytes more.
+  gossipAddress @1 :Data;
+  # Absent when it is the gossip address.
+  peerAddress @2 :Data;
   zone @3 :Text;
   region @4 :Text;
   version @5 :UInt64;
   state @6 :MemberState;
   targets @7 :List(MemberTarget);
   configurationVersion @8 :UInt64;
+  gossipPort @9 :UInt16;
+  peerPort @10 :UInt16;
 }
 
 struct Coordinator {
--- a/tests/Peer/GossipSocketTest.cpp
+++ b/tests/Peer/GossipSocketTest.cpp
@@ -3,7 +3,6 @@
 
 #include <arpa/inet.h>
 #include <gtest/gtest.h>
-#include <iostream>
 #include <netinet/in.h>
 #include <rapidcheck/gtest.h>
 #include <sys/socket.h>
@@ -54,6 +53,7 @@
     full.requestedBuckets = { 0, 5, 63 };
     full.coordinator = CoordinatorInfo { .zone = ZoneName("galle-a"), .fencingToken = 9, .node = NodeId { 4 } };
     GossipContent v6 = createContent(1);
+    // Also the case of two different addresses.
     v6.records[0].gossip.address = "fd00::1";
     return {
         GossipPing { .sequence = 1, .sender = NodeId { 1 }, .content = {} },
@@ -81,7 +81,7 @@
 }
 
 // Fails when an encoded record grows beyond what the byte budget of the design assumes (about 80 bytes).
-TEST(GossipCodec, RecordTakesAboutEightyBytes)
+TEST(GossipCodec, RecordStaysWithinItsSize)
 {
     auto size = [](size_t records) {
         return encodeGossip(
@@ -91,8 +91,7 @@
     };
     size_t perRecord = (size(10) - size(2)) / 8;
     RecordProperty("bytesPerRecord", static_cast<int>(perRecord));
-    std::cout << "one record takes " << perRecord << " bytes, an empty ping " << size(0) << "\n";
-    EXPECT_LE(perRecord, 110u);
+    EXPECT_LE(perRecord, 85u);
 }
 
 // Fails when a digest and a full load of records no longer fit into one datagram.
@@ -129,6 +128,7 @@
     EXPECT_TRUE(isMalformed(withRecord([](MemberRecord& it) { it.node = {}; })));
     EXPECT_TRUE(isMalformed(withRecord([](MemberRecord& it) { it.peer.port = 0; })));
     EXPECT_TRUE(isMalformed(withRecord([](MemberRecord& it) { it.peer.address = "localhost"; })));
+    EXPECT_TRUE(isMalformed(withRecord([](MemberRecord& it) { it.gossip.port = 0; })));
     EXPECT_TRUE(isMalformed(withRecord([](MemberRecord& it) { it.zone = ZoneName("Not Valid"); })));
     EXPECT_TRUE(isMalformed(withRecord([](MemberRecord& it) { it.region = {}; })));
     EXPECT_TRUE(isMalformed(withRecord([](MemberRecord& it) { it.state = static_cast<MemberState>(4); })));
