--- a/Source/Admission/CallLedger.cpp
+++ b/Source/Admission/CallLedger.cpp
@@ -285,7 +285,7 @@
     while (!m_expiry.empty() && m_expiry.begin()->first < now) {
         AttemptId id = m_expiry.begin()->second;
         LedgerEntry& entry = m_entries.at(id);
-        if (entry.is<AttemptFinished>() || entry.is<AttemptLost>())
+        if (!entry.is<AttemptRefused>())
             m_evictedDeadline = std::max(m_evictedDeadline, entry.deadline);
         erase(id);
     }
--- a/Source/Admission/CallLedger.h
+++ b/Source/Admission/CallLedger.h
@@ -171,7 +171,7 @@
     size_t m_tombstones { 0 };
     // Refusals that have no entry. None of them was ever started.
     RefusedFilter m_refused;
-    // Latest deadline among evicted attempts that had been started. Guards queries when a service's kind, and with it
+    // Latest deadline among evicted attempts that may have run. Guards queries when a service's kind, and with it
     // the hold time, changes.
     Instant m_evictedDeadline { Instant::min() + std::chrono::hours(1) };
 };
--- a/tests/Admission/AdmissionControllerTest.cpp
+++ b/tests/Admission/AdmissionControllerTest.cpp
@@ -40,6 +40,18 @@
     EXPECT_EQ(repliesIn<CallAnswered>(bench.offer(attemptOf(1, 2))).size(), 1u);
 }
 
+// The original must not be evicted before an attempt that joined it with a later deadline.
+TEST(AdmissionController, OriginalIsHeldAsLongAsAJoinedAttempt)
+{
+    AdmissionBench bench;
+    bench.offer(attemptOf(1, 0), { .timeout = std::chrono::seconds(1) });
+    bench.offer(attemptOf(1, 1), { .timeout = std::chrono::seconds(20) });
+    bench.answer(attemptOf(1, 0));
+    Instant deadline = bench.now + std::chrono::seconds(20);
+    bench.advance(std::chrono::seconds(45));
+    EXPECT_EQ(repliesIn<CallAnswered>(bench.query(attemptOf(1, 1), deadline)).size(), 1u);
+}
+
 // The sender's own definition may be older than the target's.
 TEST(AdmissionController, StricterDefinitionOverridesTheKindOfTheRequest)
 {
