--- a/Source/Base/Base.h
+++ b/Source/Base/Base.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "Base/CallMessages.h"
-#include "Base/ConfigurationSnapshot.h"
+#include "Base/ConfigurationDelta.h"
 #include "Base/GossipMessages.h"
 #include "Base/HttpMessage.h"
 #include "Base/Identifiers.h"
--- a/Source/Base/CallMessages.h
+++ b/Source/Base/CallMessages.h
@@ -71,6 +71,7 @@
 // Asks what became of an attempt. An unknown attempt is refused for good by asking.
 struct CallQuery {
     AttemptId id;
+    ServiceName service;
     NodeId receiver;
     // Deadline of the attempt. Long after it the receiver may have evicted the entry and then answers CallLost.
     Instant deadline;
--- a/Source/Calls/CallCoordinator.cpp
+++ b/Source/Calls/CallCoordinator.cpp
@@ -395,7 +395,11 @@
     attempt.queryInterval = std::min(2 * attempt.queryInterval, m_options.maximumQueryInterval);
     const auto& target = attempt.selection.target;
     actions.push_back(
-        SendQuery { target, { .id = attempt.id, .receiver = target.node, .deadline = call.start().deadline } });
+        SendQuery { target,
+            { .id = attempt.id,
+                .service = target.service,
+                .receiver = target.node,
+                .deadline = call.start().deadline } });
 }
 
 void CallCoordinator::queryDue(PendingCall& call, Instant now, CallActions& actions)
--- a/Source/Configuration/ConfigurationStore.h
+++ b/Source/Configuration/ConfigurationStore.h
@@ -1,7 +1,7 @@
 // The configuration in force on this node. Its version only grows.
 #pragma once
 
-#include "Base/ServiceDefinition.h"
+#include "Base/ConfigurationDelta.h"
 
 #include <cstdint>
 #include <map>
@@ -11,23 +11,6 @@
 
 namespace Berylport {
 
-struct RemovedService {
-    ServiceName name;
-    // Configuration version of the removal.
-    uint64_t version { 0 };
-    bool operator==(const RemovedService&) const = default;
-};
-
-// What turns the configuration of one version into that of a later one.
-struct ConfigurationDelta {
-    // Zero for a whole configuration, which replaces everything held.
-    uint64_t baseVersion { 0 };
-    uint64_t version { 0 };
-    std::vector<ServiceDefinition> changed;
-    std::vector<RemovedService> removed;
-    bool operator==(const ConfigurationDelta&) const = default;
-};
-
 enum class ApplyResult : uint8_t {
     Applied,
     // The version held is the same or newer; nothing was changed.
--- a/Source/Node/Announcement.cpp
+++ b/Source/Node/Announcement.cpp
@@ -23,10 +23,7 @@
     return std::nullopt;
 }
 
-std::string_view view(capnp::Text::Reader text)
-{
-    return { text.begin(), text.size() };
-}
+std::string_view view(capnp::Text::Reader text) { return { text.begin(), text.size() }; }
 
 Result<TargetAnnouncement, AnnouncementError> check(Schema::Announcement::Reader reader)
 {
--- a/Source/Node/CallerAnswers.cpp
+++ b/Source/Node/CallerAnswers.cpp
@@ -30,7 +30,8 @@
     setHeader(response.headers, Header::outcome, toText(outcome));
     setHeader(response.headers, Header::reason, reason);
     addRetryAfter(response, retryAfter);
-    response.body = "{\"outcome\":\"" + std::string(toText(outcome)) + "\",\"reason\":\"" + std::string(reason) + "\"}\n";
+    response.body
+        = "{\"outcome\":\"" + std::string(toText(outcome)) + "\",\"reason\":\"" + std::string(reason) + "\"}\n";
     return response;
 }
 
@@ -79,10 +80,7 @@
     return std::chrono::milliseconds(n);
 }
 
-std::string_view firstLabel(std::string_view host)
-{
-    return host.substr(0, host.find_first_of(".:"));
-}
+std::string_view firstLabel(std::string_view host) { return host.substr(0, host.find_first_of(".:")); }
 
 Result<ServiceName, EntryRefusal> readService(const HttpRequest& request)
 {
--- a/Source/Node/CallerAnswers.h
+++ b/Source/Node/CallerAnswers.h
@@ -23,7 +23,7 @@
 constexpr std::string_view deadline = "Berylport-Deadline-Ms";
 constexpr std::string_view idempotencyKey = "Idempotency-Key";
 constexpr std::string_view traceParent = "traceparent";
-}
+} // namespace Header
 
 // Why the entry node itself refuses a request, before any attempt.
 enum class EntryRefusal : uint8_t {
--- a/Source/Node/EntryTask.cpp
+++ b/Source/Node/EntryTask.cpp
@@ -55,9 +55,8 @@
     : Task(context.loop, "entry")
     , m_context(context)
     , m_patient(patient)
-    , m_mailbox(context.loop, guarded([this](EntryMessage&& message) {
-        std::visit([this](auto& it) { handle(std::move(it)); }, message);
-    }))
+    , m_mailbox(context.loop,
+          guarded([this](EntryMessage&& message) { std::visit([this](auto& it) { handle(std::move(it)); }, message); }))
     , m_coordinator(makeCallOptions(context))
     , m_server(context.loop.base(), guarded([this](HttpRequest request, const Endpoint& peer, Responder responder) {
         arrived(std::move(request), peer, std::move(responder));
@@ -73,7 +72,8 @@
 {
     auto endpoint = m_server.listen(m_context.settings.listen.caller);
     if (!endpoint)
-        throw std::runtime_error("callers' address " + toText(m_context.settings.listen.caller) + ": " + std::string(toText(endpoint.error())));
+        throw std::runtime_error("callers' address " + toText(m_context.settings.listen.caller) + ": "
+            + std::string(toText(endpoint.error())));
     m_context.ports.entry.attach(&m_mailbox);
     // A restarted task has missed what came before.
     m_catalogue = m_context.status.catalogue;
@@ -92,7 +92,9 @@
 
 void EntryTask::refuse(const Responder& responder, EntryRefusal refusal)
 {
-    m_context.metrics.add({ .name = "berylport_entry_refusals_total", .labelName = "reason", .labelValue = std::string(toText(refusal)) });
+    m_context.metrics.add({ .name = "berylport_entry_refusals_total",
+        .labelName = "reason",
+        .labelValue = std::string(toText(refusal)) });
     responder.answer(makeRefusal(refusal));
 }
 
@@ -139,8 +141,8 @@
         refuse(responder, EntryRefusal::PatientUnavailable);
 }
 
-void EntryTask::startCall(const CallerRequest& request, const ServiceDefinition& definition, HttpRequest http,
-    Responder responder)
+void EntryTask::startCall(
+    const CallerRequest& request, const ServiceDefinition& definition, HttpRequest http, Responder responder)
 {
     Instant now = steadyNow();
     Duration wait = std::min(definition.callerWait, request.timeout.value_or(definition.callerWait));
@@ -237,15 +239,9 @@
     perform(actions);
 }
 
-void EntryTask::handle(TargetsChanged&& message)
-{
-    m_coordinator.updateTargets(message.targets, steadyNow());
-}
+void EntryTask::handle(TargetsChanged&& message) { m_coordinator.updateTargets(message.targets, steadyNow()); }
 
-void EntryTask::handle(CatalogueChanged&& message)
-{
-    m_catalogue = std::move(message.catalogue);
-}
+void EntryTask::handle(CatalogueChanged&& message) { m_catalogue = std::move(message.catalogue); }
 
 void EntryTask::handle(NodeGone&& message)
 {
@@ -254,10 +250,7 @@
     perform(actions);
 }
 
-void EntryTask::handle(ServingChanged&& message)
-{
-    m_guard = message.state;
-}
+void EntryTask::handle(ServingChanged&& message) { m_guard = message.state; }
 
 void EntryTask::handle(BeginDrain&&)
 {
@@ -300,7 +293,8 @@
 void EntryTask::sendToOwnTarget(CallRequest request)
 {
     AttemptId id = request.id;
-    auto reply = [&ports = m_context.ports](CallReply it) { ports.entry.post(AttemptReplied { .reply = std::move(it) }); };
+    auto reply
+        = [&ports = m_context.ports](CallReply it) { ports.entry.post(AttemptReplied { .reply = std::move(it) }); };
     bool isPosted = m_context.ports.target.post(
         OfferCall { .link = LinkId {}, .request = std::move(request), .reply = std::move(reply) });
     if (!isPosted)
@@ -319,8 +313,10 @@
 {
     AttemptId id = query.query.id;
     if (query.target.node == m_context.self) {
-        auto reply = [&ports = m_context.ports](QueryReply it) { ports.entry.post(QueryReplied { .reply = std::move(it) }); };
-        if (!m_context.ports.target.post(QueryCall { .link = LinkId {}, .query = query.query, .reply = std::move(reply) }))
+        auto reply
+            = [&ports = m_context.ports](QueryReply it) { ports.entry.post(QueryReplied { .reply = std::move(it) }); };
+        if (!m_context.ports.target.post(
+                QueryCall { .link = LinkId {}, .query = query.query, .reply = std::move(reply) }))
             m_mailbox.post(QueryFailed { .id = id });
         return;
     }
@@ -336,8 +332,8 @@
     Caller caller = std::move(it->second);
     m_callers.erase(it);
     if (caller.parent && caller.tokensFromParent > answer.retryTokensUsed) {
-        m_context.ports.target.post(ReturnRetryTokens {
-            .parent = *caller.parent, .unused = caller.tokensFromParent - answer.retryTokensUsed });
+        m_context.ports.target.post(
+            ReturnRetryTokens { .parent = *caller.parent, .unused = caller.tokensFromParent - answer.retryTokensUsed });
     }
     Instant now = steadyNow();
     caller.span->SetTag("outcome", std::string(toText(answer.outcome)));
@@ -347,8 +343,9 @@
     m_context.metrics.record(latency, now - caller.arrived, now);
     if (auto* failure = std::get_if<CallFailure>(&answer.result)) {
         Event event = answer.outcome == RunOutcome::MayHaveRun ? Event::CallOutcomeUnknown : Event::CallGivenUp;
-        logEvent(event, { { "call", toText(answer.id) }, { "service", caller.service.text },
-            { "outcome", std::string(toText(answer.outcome)) }, { "reason", std::string(toText(*failure)) } });
+        logEvent(event,
+            { { "call", toText(answer.id) }, { "service", caller.service.text },
+                { "outcome", std::string(toText(answer.outcome)) }, { "reason", std::string(toText(*failure)) } });
     }
     caller.responder.answer(makeAnswer(std::move(answer)));
 }
@@ -360,9 +357,6 @@
     perform(actions);
 }
 
-void EntryTask::updateStatus()
-{
-    m_context.status.entryCalls = m_callers.size() + m_waitingChildren.size();
-}
+void EntryTask::updateStatus() { m_context.status.entryCalls = m_callers.size() + m_waitingChildren.size(); }
 
 } // namespace Berylport
--- a/Source/Node/LinkTask.cpp
+++ b/Source/Node/LinkTask.cpp
@@ -8,15 +8,18 @@
 LinkTask::LinkTask(NodeContext& context)
     : Task(context.loop, "link")
     , m_context(context)
-    , m_mailbox(context.loop, guarded([this](LinkMessage&& message) {
-        std::visit([this](auto& it) { handle(std::move(it)); }, message);
-    }))
+    , m_mailbox(context.loop,
+          guarded([this](LinkMessage&& message) { std::visit([this](auto& it) { handle(std::move(it)); }, message); }))
     , m_server(context.loop, context.self, *this, {})
     , m_links(context.loop, context.self, context.seed, {},
-          { .opened = [](const PeerAddress& address) { logEvent(Event::LinkOpened, { { "peer", toText(address.node) } }); },
+          { .opened =
+                  [](const PeerAddress& address) {
+                      logEvent(Event::LinkOpened, { { "peer", toText(address.node) } });
+                  },
               .closed =
                   [](const PeerAddress& address, PeerError ec) {
-                      logEvent(Event::LinkClosed, { { "peer", toText(address.node) }, { "reason", std::string(toText(ec)) } });
+                      logEvent(Event::LinkClosed,
+                          { { "peer", toText(address.node) }, { "reason", std::string(toText(ec)) } });
                   } })
 {
 }
@@ -27,7 +30,8 @@
 {
     auto endpoint = m_server.listen(m_context.settings.listen.peer);
     if (!endpoint)
-        throw std::runtime_error("peer address " + toText(m_context.settings.listen.peer) + ": " + std::string(toText(endpoint.error())));
+        throw std::runtime_error(
+            "peer address " + toText(m_context.settings.listen.peer) + ": " + std::string(toText(endpoint.error())));
     m_context.ports.link.attach(&m_mailbox);
     for (auto& it : m_context.status.members)
         m_endpoints[it.node] = it.peer;
@@ -53,8 +57,8 @@
 {
     AttemptId id = request.id;
     m_context.metrics.add("berylport_link_calls_total");
-    bool isPosted = m_context.ports.target.post(
-        OfferCall { .link = link.id, .request = std::move(request), .reply = reply });
+    bool isPosted
+        = m_context.ports.target.post(OfferCall { .link = link.id, .request = std::move(request), .reply = reply });
     if (!isPosted)
         reply(CallRefused { .id = id, .reason = RefusalReason::NoTarget });
 }
@@ -86,15 +90,9 @@
         done(false);
 }
 
-void LinkTask::linkOpened(const LinkInfo& link)
-{
-    m_context.ports.target.post(LinkOpened { .link = link.id });
-}
+void LinkTask::linkOpened(const LinkInfo& link) { m_context.ports.target.post(LinkOpened { .link = link.id }); }
 
-void LinkTask::linkClosed(const LinkInfo& link)
-{
-    m_context.ports.target.post(LinkClosed { .link = link.id });
-}
+void LinkTask::linkClosed(const LinkInfo& link) { m_context.ports.target.post(LinkClosed { .link = link.id }); }
 
 // --- from the other tasks
 
@@ -138,10 +136,7 @@
     });
 }
 
-void LinkTask::handle(PeerBook&& message)
-{
-    m_endpoints = std::move(message.endpoints);
-}
+void LinkTask::handle(PeerBook&& message) { m_endpoints = std::move(message.endpoints); }
 
 void LinkTask::handle(ConfirmLinks&& message)
 {
@@ -160,16 +155,17 @@
         return;
     }
     Instant askedAt = steadyNow();
-    m_links.fetchConfiguration(*address, message.since, [&ports, node, askedAt](Result<ConfigurationOffer, PeerError> offer) {
-        if (!offer) {
-            ports.configuration.post(ConfigurationFetchFailed { .node = node });
-            return;
-        }
-        ports.configuration.post(ConfigurationFetched { .node = node,
-            .delta = std::move(offer.value().delta),
-            .isServing = offer.value().isServing,
-            .askedAt = askedAt });
-    });
+    m_links.fetchConfiguration(
+        *address, message.since, [&ports, node, askedAt](Result<ConfigurationOffer, PeerError> offer) {
+            if (!offer) {
+                ports.configuration.post(ConfigurationFetchFailed { .node = node });
+                return;
+            }
+            ports.configuration.post(ConfigurationFetched { .node = node,
+                .delta = std::move(offer.value().delta),
+                .isServing = offer.value().isServing,
+                .askedAt = askedAt });
+        });
 }
 
 void LinkTask::handle(NodeGone&& message)
@@ -185,14 +181,15 @@
         message.done(RemoteDrainError::UnknownNode);
         return;
     }
-    m_links.drainTarget(*address, message.service, message.isDrained, [done = message.done](Result<bool, PeerError> isKnown) {
-        if (!isKnown)
-            done(RemoteDrainError::Unreachable);
-        else if (!isKnown.value())
-            done(RemoteDrainError::UnknownTarget);
-        else
-            done(success());
-    });
+    m_links.drainTarget(
+        *address, message.service, message.isDrained, [done = message.done](Result<bool, PeerError> isKnown) {
+            if (!isKnown)
+                done(RemoteDrainError::Unreachable);
+            else if (!isKnown.value())
+                done(RemoteDrainError::UnknownTarget);
+            else
+                done(success());
+        });
 }
 
 void LinkTask::handle(BeginDrain&&)
--- a/Source/Node/LocalTarget.cpp
+++ b/Source/Node/LocalTarget.cpp
@@ -23,7 +23,8 @@
     std::erase_if(m_functions, [&](auto& entry) { return entry.first.link == link; });
 }
 
-LocalTarget::LocalTarget(event_base* eventBase, NodeId self, const ServiceName& name, const TargetSection& section, Instant now)
+LocalTarget::LocalTarget(
+    event_base* eventBase, NodeId self, const ServiceName& name, const TargetSection& section, Instant now)
     : base(eventBase)
     , settings(section)
     , service(name)
--- a/Source/Node/MembershipTask.cpp
+++ b/Source/Node/MembershipTask.cpp
@@ -69,7 +69,8 @@
 {
     auto endpoint = m_socket.listen(m_context.settings.listen.gossip);
     if (!endpoint)
-        throw std::runtime_error("gossip address " + toText(m_context.settings.listen.gossip) + ": " + std::string(toText(endpoint.error())));
+        throw std::runtime_error("gossip address " + toText(m_context.settings.listen.gossip) + ": "
+            + std::string(toText(endpoint.error())));
     m_context.ports.membership.attach(&m_mailbox);
     if (!m_context.settings.membership.seeds.empty()) {
         MembershipActions actions;
@@ -101,10 +102,7 @@
     perform(actions);
 }
 
-void MembershipTask::handle(CoordinatorHeld&& message)
-{
-    m_service.setCoordinator(message.coordinator);
-}
+void MembershipTask::handle(CoordinatorHeld&& message) { m_service.setCoordinator(message.coordinator); }
 
 void MembershipTask::handle(RemindMembers&& message)
 {
@@ -163,15 +161,9 @@
     m_context.ports.link.post(NodeGone { .node = event.node });
 }
 
-void MembershipTask::perform(MembersChanged&&)
-{
-    m_hasChanges = true;
-}
+void MembershipTask::perform(MembersChanged&&) { m_hasChanges = true; }
 
-void MembershipTask::perform(DeclaredDead&&)
-{
-    m_context.ports.configuration.post(TakenForDead {});
-}
+void MembershipTask::perform(DeclaredDead&&) { m_context.ports.configuration.post(TakenForDead {}); }
 
 void MembershipTask::perform(ContactChanged&& contact)
 {
--- a/Source/Node/NodeMessages.h
+++ b/Source/Node/NodeMessages.h
@@ -71,8 +71,8 @@
     std::function<void(CallReply)> done;
 };
 
-using EntryMessage = std::variant<AttemptReplied, AttemptNotSent, QueryReplied, QueryFailed, TargetsChanged, CatalogueChanged,
-    NodeGone, ServingChanged, ParentFound, BeginDrain>;
+using EntryMessage = std::variant<AttemptReplied, AttemptNotSent, QueryReplied, QueryFailed, TargetsChanged,
+    CatalogueChanged, NodeGone, ServingChanged, ParentFound, BeginDrain>;
 
 // --- to the target task
 
@@ -144,8 +144,8 @@
     std::function<void(Result<void, RemoteDrainError>)> done;
 };
 
-using LinkMessage = std::variant<SendAttempt, SendCancel, SendQuery, PeerBook, ConfirmLinks, FetchConfiguration, NodeGone,
-    DrainRemoteTarget, BeginDrain>;
+using LinkMessage = std::variant<SendAttempt, SendCancel, SendQuery, PeerBook, ConfirmLinks, FetchConfiguration,
+    NodeGone, DrainRemoteTarget, BeginDrain>;
 
 // --- to the membership task
 
@@ -218,8 +218,8 @@
     std::function<void(bool isDone)> done;
 };
 
-using ConfigurationMessage = std::variant<PeerVersion, ConfigurationFetched, ConfigurationFetchFailed, ZoneMembersChanged,
-    ZoneMemberLeft, TakenForDead, ContactLost, OperatorChange, ListZones, RetireZone, BeginDrain>;
+using ConfigurationMessage = std::variant<PeerVersion, ConfigurationFetched, ConfigurationFetchFailed,
+    ZoneMembersChanged, ZoneMemberLeft, TakenForDead, ContactLost, OperatorChange, ListZones, RetireZone, BeginDrain>;
 
 // Every task's address.
 struct NodePorts {
--- a/Source/Node/TargetTask.cpp
+++ b/Source/Node/TargetTask.cpp
@@ -19,7 +19,9 @@
 
 HttpResponse makeText(uint16_t status, std::string_view text)
 {
-    return { .status = status, .headers = { { .name = "Content-Type", .value = "text/plain" } }, .body = std::string(text) + "\n" };
+    return { .status = status,
+        .headers = { { .name = "Content-Type", .value = "text/plain" } },
+        .body = std::string(text) + "\n" };
 }
 
 uint64_t bytesOf(const HttpRequest& request)
@@ -73,7 +75,8 @@
 {
     auto endpoint = m_server.listen(m_context.settings.listen.local);
     if (!endpoint)
-        throw std::runtime_error("local address " + toText(m_context.settings.listen.local) + ": " + std::string(toText(endpoint.error())));
+        throw std::runtime_error(
+            "local address " + toText(m_context.settings.listen.local) + ": " + std::string(toText(endpoint.error())));
     m_context.ports.target.attach(&m_mailbox);
     m_nextCheck = steadyNow();
     wake();
@@ -285,8 +288,8 @@
     }
     LocalTarget& target = findOrCreate(announcement.value().service);
     if (!target.announcement) {
-        logEvent(Event::TargetAnnounced, { { "service", target.service.text },
-            { "port", std::to_string(announcement.value().port) } });
+        logEvent(Event::TargetAnnounced,
+            { { "service", target.service.text }, { "port", std::to_string(announcement.value().port) } });
     }
     applyAnnouncement(target, announcement.value(), steadyNow());
     responder.answer(makeText(200, toText(target.effectiveState())));
@@ -329,8 +332,8 @@
 void TargetTask::stateChanged(LocalTarget& target)
 {
     ++target.stateVersion;
-    logEvent(Event::TargetStateChanged, { { "service", target.service.text },
-        { "state", std::string(toText(target.effectiveState())) } });
+    logEvent(Event::TargetStateChanged,
+        { { "service", target.service.text }, { "state", std::string(toText(target.effectiveState())) } });
     AdmissionActions actions;
     target.admission.setTargetState(steadyNow(), target.effectiveState(), actions);
     perform(target, actions);
@@ -354,7 +357,8 @@
 void TargetTask::checkAnnouncements(Instant now)
 {
     for (auto& [service, target] : m_targets) {
-        bool hasLapsed = target->announcement && now - target->announcedAt >= m_context.settings.target.announcementTimeout;
+        bool hasLapsed
+            = target->announcement && now - target->announcedAt >= m_context.settings.target.announcementTimeout;
         if (!hasLapsed)
             continue;
         target->announcement.reset();
@@ -374,7 +378,8 @@
 {
     Instant now = steadyNow();
     HttpRequest http = std::move(start.http);
-    setHeader(http.headers, Header::deadline, std::to_string(std::max<int64_t>(0, toMilliseconds(start.deadline - now))));
+    setHeader(
+        http.headers, Header::deadline, std::to_string(std::max<int64_t>(0, toMilliseconds(start.deadline - now))));
     setHeader(http.headers, Header::parent, toText(start.id.call));
     auto span = m_spans.find(start.id);
     if (span != m_spans.end())
@@ -405,8 +410,11 @@
 {
     AttemptId id = std::visit([](auto& it) { return it.id; }, reply.reply);
     if (auto* refused = std::get_if<CallRefused>(&reply.reply)) {
-        m_context.metrics.add({ .name = "berylport_refusals_total", .labelName = "reason", .labelValue = std::string(toText(refused->reason)) });
-        logEvent(Event::AdmissionRefused, { { "call", toText(id.call) }, { "reason", std::string(toText(refused->reason)) } });
+        m_context.metrics.add({ .name = "berylport_refusals_total",
+            .labelName = "reason",
+            .labelValue = std::string(toText(refused->reason)) });
+        logEvent(Event::AdmissionRefused,
+            { { "call", toText(id.call) }, { "reason", std::string(toText(refused->reason)) } });
     }
     m_spans.erase(id);
     if (auto function = target.replies.take(reply.link, id))
--- a/Source/Peer/PeerCodec.cpp
+++ b/Source/Peer/PeerCodec.cpp
@@ -229,35 +229,22 @@
     return text.size() ? readName<struct TenantNameTag>(text) : TenantName();
 }
 
-void writeDefinition(Schema::ServiceDefinition::Builder builder, const ServiceDefinition& definition)
+ServiceDefinition definition(Schema::ServiceDefinition::Reader reader)
 {
-    builder.setName(textOf(definition.name.text));
-    builder.setKind(static_cast<Schema::RequestKind>(definition.kind));
-    builder.setPriority(static_cast<Schema::Priority>(definition.priority));
-    builder.setCallerWaitMicroseconds(static_cast<uint64_t>(definition.callerWait.count()));
-    builder.setRetryTokens(definition.retryTokens);
-    builder.setIsHedged(definition.isHedged);
-    builder.setDeduplicates(definition.deduplicates);
-    builder.setQueueLimit(definition.queueLimit);
-    builder.setVersion(definition.version);
-}
-
-ServiceDefinition readDefinition(Schema::ServiceDefinition::Reader reader)
-{
-    ServiceDefinition definition;
-    definition.name = readName<struct ServiceNameTag>(reader.getName());
-    definition.kind = readEnum(reader.getKind(), RequestKind::Patient);
-    definition.priority = readEnum(reader.getPriority(), Priority::Bulk);
+    ServiceDefinition result;
+    result.name = readName<struct ServiceNameTag>(reader.getName());
+    result.kind = readEnum(reader.getKind(), RequestKind::Patient);
+    result.priority = readEnum(reader.getPriority(), Priority::Bulk);
     uint64_t wait = reader.getCallerWaitMicroseconds();
     require(wait <= static_cast<uint64_t>(maximumClock), "caller wait out of range");
-    definition.callerWait = Duration(static_cast<int64_t>(wait));
-    definition.retryTokens = reader.getRetryTokens();
-    definition.isHedged = reader.getIsHedged();
-    definition.deduplicates = reader.getDeduplicates();
-    definition.queueLimit = reader.getQueueLimit();
-    definition.version = reader.getVersion();
-    require(!validate(definition), "invalid definition");
-    return definition;
+    result.callerWait = Duration(static_cast<int64_t>(wait));
+    result.retryTokens = reader.getRetryTokens();
+    result.isHedged = reader.getIsHedged();
+    result.deduplicates = reader.getDeduplicates();
+    result.queueLimit = reader.getQueueLimit();
+    result.version = reader.getVersion();
+    require(!validate(result), "invalid definition");
+    return result;
 }
 
 } // namespace
@@ -292,6 +279,7 @@
     write(builder.initId(), query.id);
     builder.setReceiver(query.receiver.value);
     builder.setDeadline(toMicroseconds(query.deadline));
+    builder.setService(textOf(query.service.text));
 }
 
 void write(Schema::CallReply::Builder builder, const CallReply& reply)
@@ -304,13 +292,35 @@
     std::visit([&](const auto& it) { writeReply(builder, it); }, reply);
 }
 
-void write(Schema::Configuration::Builder builder, const ConfigurationSnapshot& snapshot)
+void write(Schema::ServiceDefinition::Builder builder, const ServiceDefinition& definition)
 {
-    builder.setVersion(snapshot.version);
-    auto services = builder.initServices(static_cast<unsigned>(snapshot.services.size()));
+    builder.setName(textOf(definition.name.text));
+    builder.setKind(static_cast<Schema::RequestKind>(definition.kind));
+    builder.setPriority(static_cast<Schema::Priority>(definition.priority));
+    builder.setCallerWaitMicroseconds(static_cast<uint64_t>(definition.callerWait.count()));
+    builder.setRetryTokens(definition.retryTokens);
+    builder.setIsHedged(definition.isHedged);
+    builder.setDeduplicates(definition.deduplicates);
+    builder.setQueueLimit(definition.queueLimit);
+    builder.setVersion(definition.version);
+}
+
+void write(Schema::Configuration::Builder builder, const ConfigurationOffer& offer)
+{
+    const ConfigurationDelta& delta = offer.delta;
+    builder.setVersion(delta.version);
+    builder.setBaseVersion(delta.baseVersion);
+    builder.setIsServing(offer.isServing);
+    auto services = builder.initServices(static_cast<unsigned>(delta.changed.size()));
     unsigned i = 0;
-    for (const auto& it : snapshot.services)
-        writeDefinition(services[i++], it);
+    for (const auto& it : delta.changed)
+        write(services[i++], it);
+    auto removed = builder.initRemoved(static_cast<unsigned>(delta.removed.size()));
+    i = 0;
+    for (const auto& it : delta.removed) {
+        removed[i].setName(textOf(it.name.text));
+        removed[i++].setVersion(it.version);
+    }
 }
 
 Result<AttemptId, PeerError> readAttemptId(Schema::AttemptId::Reader reader)
@@ -343,6 +353,7 @@
     return decode<CallQuery>([&] {
         return CallQuery {
             .id = attemptId(reader.getId()),
+            .service = readName<struct ServiceNameTag>(reader.getService()),
             .receiver = NodeId { reader.getReceiver() },
             .deadline = clockTime(reader.getDeadline()),
         };
@@ -365,19 +376,35 @@
     return decode<QueryReply>([&] { return queryReply(reader); });
 }
 
-Result<ConfigurationSnapshot, PeerError> readConfiguration(Schema::Configuration::Reader reader)
+Result<ConfigurationOffer, PeerError> readConfiguration(Schema::Configuration::Reader reader)
 {
-    return decode<ConfigurationSnapshot>([&] {
-        ConfigurationSnapshot snapshot;
-        snapshot.version = reader.getVersion();
+    return decode<ConfigurationOffer>([&] {
+        ConfigurationOffer offer { .delta = {}, .isServing = reader.getIsServing() };
+        offer.delta.version = reader.getVersion();
+        offer.delta.baseVersion = reader.getBaseVersion();
         auto services = reader.getServices();
-        require(services.size() <= maximumServices, "too many services");
+        auto removed = reader.getRemoved();
+        require(services.size() <= maximumServices && removed.size() <= maximumServices, "too many services");
         for (auto it : services)
-            snapshot.services.push_back(readDefinition(it));
-        return snapshot;
+            offer.delta.changed.push_back(definition(it));
+        for (auto it : removed) {
+            offer.delta.removed.push_back(
+                { .name = readName<struct ServiceNameTag>(it.getName()), .version = it.getVersion() });
+        }
+        return offer;
     });
 }
 
+Result<ServiceDefinition, PeerError> readServiceDefinition(Schema::ServiceDefinition::Reader reader)
+{
+    return decode<ServiceDefinition>([&] { return definition(reader); });
+}
+
+Result<ServiceName, PeerError> readServiceName(capnp::Text::Reader reader)
+{
+    return decode<ServiceName>([&] { return readName<struct ServiceNameTag>(reader); });
+}
+
 Result<Instant, PeerError> readClock(int64_t microseconds)
 {
     return decode<Instant>([&] { return clockTime(microseconds); });
@@ -401,10 +428,10 @@
     return answered ? estimateAnswer(*answered) : messageOverhead;
 }
 
-size_t estimateSize(const ConfigurationSnapshot& snapshot)
+size_t estimateSize(const ConfigurationOffer& offer)
 {
     constexpr size_t definitionSize = 160;
-    return messageOverhead + snapshot.services.size() * definitionSize;
+    return messageOverhead + (offer.delta.changed.size() + offer.delta.removed.size()) * definitionSize;
 }
 
 } // namespace Berylport
--- a/Source/Peer/PeerCodec.h
+++ b/Source/Peer/PeerCodec.h
@@ -13,14 +13,17 @@
 void write(Schema::CallQuery::Builder, const CallQuery&);
 void write(Schema::CallReply::Builder, const CallReply&);
 void write(Schema::CallReply::Builder, const QueryReply&);
-void write(Schema::Configuration::Builder, const ConfigurationSnapshot&);
+void write(Schema::ServiceDefinition::Builder, const ServiceDefinition&);
+void write(Schema::Configuration::Builder, const ConfigurationOffer&);
 
 Result<AttemptId, PeerError> readAttemptId(Schema::AttemptId::Reader);
 Result<CallRequest, PeerError> readCallRequest(Schema::CallRequest::Reader);
 Result<CallQuery, PeerError> readCallQuery(Schema::CallQuery::Reader);
 Result<CallReply, PeerError> readCallReply(Schema::CallReply::Reader);
 Result<QueryReply, PeerError> readQueryReply(Schema::CallReply::Reader);
-Result<ConfigurationSnapshot, PeerError> readConfiguration(Schema::Configuration::Reader);
+Result<ConfigurationOffer, PeerError> readConfiguration(Schema::Configuration::Reader);
+Result<ServiceDefinition, PeerError> readServiceDefinition(Schema::ServiceDefinition::Reader);
+Result<ServiceName, PeerError> readServiceName(capnp::Text::Reader);
 // Rejects clocks whose differences could overflow.
 Result<Instant, PeerError> readClock(int64_t microseconds);
 
@@ -28,6 +31,6 @@
 size_t estimateSize(const CallRequest&);
 size_t estimateSize(const QueryReply&);
 size_t estimateSize(const CallReply&);
-size_t estimateSize(const ConfigurationSnapshot&);
+size_t estimateSize(const ConfigurationOffer&);
 
 } // namespace Berylport
--- a/Source/Peer/PeerLink.cpp
+++ b/Source/Peer/PeerLink.cpp
@@ -61,8 +61,8 @@
     void send(CallRequest&&, CallCompletion&&);
     void cancel(const CallCancel&);
     void query(CallQuery&&, QueryCompletion&&);
-    void fetchConfiguration(ConfigurationCompletion&&);
-    void reportVersion(NodeId, uint64_t version, ReportCompletion&&);
+    void fetchConfiguration(uint64_t since, ConfigurationCompletion&&);
+    void drainTarget(const ServiceName&, bool isDrained, DrainCompletion&&);
     void closeLater(PeerError);
     // Ends everything without events.
     void abandon();
@@ -453,30 +453,33 @@
     addRequest({ .fail = fail, .start = start });
 }
 
-void PeerLink::Private::fetchConfiguration(ConfigurationCompletion&& completion)
+void PeerLink::Private::fetchConfiguration(uint64_t since, ConfigurationCompletion&& completion)
 {
     uint64_t key = m_nextRequest;
     auto fail = [this, completion](PeerError ec) { deliver([completion, ec] { completion(ec); }); };
-    auto start = [this, key, completion] {
+    auto start = [this, key, since, completion] {
         auto read = [](capnp::Response<Schema::Peer::FetchConfigurationResults>& response) {
             return readConfiguration(response.getConfiguration());
         };
         auto request = m_remote->fetchConfigurationRequest();
+        request.setSince(since);
         await<capnp::Response<Schema::Peer::FetchConfigurationResults>>(key, request.send(), completion, read);
     };
     addRequest({ .fail = fail, .start = start });
 }
 
-void PeerLink::Private::reportVersion(NodeId node, uint64_t version, ReportCompletion&& completion)
+void PeerLink::Private::drainTarget(const ServiceName& service, bool isDrained, DrainCompletion&& completion)
 {
     uint64_t key = m_nextRequest;
     auto fail = [this, completion](PeerError ec) { deliver([completion, ec] { completion(ec); }); };
-    auto start = [this, key, node, version, completion] {
-        auto request = m_remote->reportVersionRequest();
-        request.setNode(node.value);
-        request.setVersion(version);
-        auto read = [](auto&) -> Result<void, PeerError> { return success(); };
-        await<capnp::Response<Schema::Peer::ReportVersionResults>>(key, request.send(), completion, read);
+    auto start = [this, key, service, isDrained, completion] {
+        auto request = m_remote->drainTargetRequest();
+        request.setService(service.text.c_str());
+        request.setIsDrained(isDrained);
+        auto read = [](capnp::Response<Schema::Peer::DrainTargetResults>& response) -> Result<bool, PeerError> {
+            return response.getIsKnown();
+        };
+        await<capnp::Response<Schema::Peer::DrainTargetResults>>(key, request.send(), completion, read);
     };
     addRequest({ .fail = fail, .start = start });
 }
@@ -506,14 +509,14 @@
     m_private->query(std::move(query), std::move(completion));
 }
 
-void PeerLink::fetchConfiguration(ConfigurationCompletion completion)
+void PeerLink::fetchConfiguration(uint64_t since, ConfigurationCompletion completion)
 {
-    m_private->fetchConfiguration(std::move(completion));
+    m_private->fetchConfiguration(since, std::move(completion));
 }
 
-void PeerLink::reportVersion(NodeId node, uint64_t version, ReportCompletion completion)
+void PeerLink::drainTarget(const ServiceName& service, bool isDrained, DrainCompletion completion)
 {
-    m_private->reportVersion(node, version, std::move(completion));
+    m_private->drainTarget(service, isDrained, std::move(completion));
 }
 
 void PeerLink::close(PeerError reason) { m_private->closeLater(reason); }
--- a/Source/Peer/PeerLink.h
+++ b/Source/Peer/PeerLink.h
@@ -28,8 +28,9 @@
 using CallResult = Result<CallReply, NotSent>;
 using CallCompletion = std::function<void(CallResult)>;
 using QueryCompletion = std::function<void(Result<QueryReply, PeerError>)>;
-using ConfigurationCompletion = std::function<void(Result<ConfigurationSnapshot, PeerError>)>;
-using ReportCompletion = std::function<void(Result<void, PeerError>)>;
+using ConfigurationCompletion = std::function<void(Result<ConfigurationOffer, PeerError>)>;
+// Whether the peer has such a target.
+using DrainCompletion = std::function<void(Result<bool, PeerError>)>;
 
 struct PeerLinkOptions {
     // Covers the connect and the hello.
@@ -62,8 +63,9 @@
     // Takes back a request that still waits for the link; otherwise tells the peer.
     void cancel(const CallCancel&);
     void query(CallQuery, QueryCompletion);
-    void fetchConfiguration(ConfigurationCompletion);
-    void reportVersion(NodeId, uint64_t version, ReportCompletion);
+    // What the peer holds beyond the given version.
+    void fetchConfiguration(uint64_t since, ConfigurationCompletion);
+    void drainTarget(const ServiceName&, bool isDrained, DrainCompletion);
     void close(PeerError = PeerError::Closed);
 
     bool isOpen() const;
--- a/Source/Peer/PeerLinks.cpp
+++ b/Source/Peer/PeerLinks.cpp
@@ -292,16 +292,18 @@
         [&](PeerLink& link, QueryCompletion&& finished) { link.query(std::move(query), std::move(finished)); });
 }
 
-void PeerLinks::fetchConfiguration(const PeerAddress& address, ConfigurationCompletion completion)
+void PeerLinks::fetchConfiguration(const PeerAddress& address, uint64_t since, ConfigurationCompletion completion)
 {
-    m_private->withLink(address, std::move(completion),
-        [](PeerLink& link, ConfigurationCompletion&& finished) { link.fetchConfiguration(std::move(finished)); });
+    m_private->withLink(address, std::move(completion), [&](PeerLink& link, ConfigurationCompletion&& finished) {
+        link.fetchConfiguration(since, std::move(finished));
+    });
 }
 
-void PeerLinks::reportVersion(const PeerAddress& address, NodeId node, uint64_t version, ReportCompletion completion)
+void PeerLinks::drainTarget(
+    const PeerAddress& address, const ServiceName& service, bool isDrained, DrainCompletion completion)
 {
     m_private->withLink(address, std::move(completion),
-        [&](PeerLink& link, ReportCompletion&& finished) { link.reportVersion(node, version, std::move(finished)); });
+        [&](PeerLink& link, DrainCompletion&& finished) { link.drainTarget(service, isDrained, std::move(finished)); });
 }
 
 void PeerLinks::forget(const PeerAddress& address) { m_private->remove(address, PeerError::Closed); }
--- a/Source/Peer/PeerLinks.h
+++ b/Source/Peer/PeerLinks.h
@@ -42,8 +42,8 @@
     void send(const PeerAddress&, CallRequest, CallCompletion);
     void cancel(const PeerAddress&, const CallCancel&);
     void query(const PeerAddress&, CallQuery, QueryCompletion);
-    void fetchConfiguration(const PeerAddress&, ConfigurationCompletion);
-    void reportVersion(const PeerAddress&, NodeId, uint64_t version, ReportCompletion);
+    void fetchConfiguration(const PeerAddress&, uint64_t since, ConfigurationCompletion);
+    void drainTarget(const PeerAddress&, const ServiceName&, bool isDrained, DrainCompletion);
     // Closes the link and stops reconnecting, as for a node known to be gone.
     void forget(const PeerAddress&);
 
--- a/Source/Peer/PeerServer.h
+++ b/Source/Peer/PeerServer.h
@@ -18,6 +18,7 @@
 
 using ReplyToCall = std::function<void(CallReply)>;
 using ReplyToQuery = std::function<void(QueryReply)>;
+using ReplyToDrain = std::function<void(bool isKnown)>;
 
 // Requests of one link arrive in the order in which the peer sent them. Deadlines are on the own clock, the earliest
 // possible time. A deadline that cannot be translated is the zero instant, which has passed. The reply functions may be
@@ -29,8 +30,8 @@
     virtual void callArrived(const LinkInfo&, CallRequest, ReplyToCall) = 0;
     virtual void cancelArrived(const LinkInfo&, CallCancel) = 0;
     virtual void queryArrived(const LinkInfo&, CallQuery, ReplyToQuery) = 0;
-    virtual ConfigurationSnapshot configuration() = 0;
-    virtual void versionReported(const LinkInfo&, NodeId, uint64_t version) = 0;
+    virtual ConfigurationOffer configuration(uint64_t since) = 0;
+    virtual void drainArrived(const LinkInfo&, const ServiceName&, bool isDrained, ReplyToDrain) = 0;
     virtual void linkOpened(const LinkInfo&) { }
     virtual void linkClosed(const LinkInfo&) { }
 };
--- a/Source/Peer/ServerLink.cpp
+++ b/Source/Peer/ServerLink.cpp
@@ -122,22 +122,27 @@
     {
         auto link = require();
         link->requireOpen();
-        ConfigurationSnapshot snapshot;
-        link->m_context.loop.guard([&] { snapshot = link->m_context.handler.configuration(); });
-        KJ_REQUIRE(estimateSize(snapshot) <= replyLimit(*link), "the configuration is too large for one message");
-        write(context.getResults().initConfiguration(), snapshot);
+        uint64_t since = context.getParams().getSince();
+        ConfigurationOffer offer;
+        link->m_context.loop.guard([&] { offer = link->m_context.handler.configuration(since); });
+        KJ_REQUIRE(estimateSize(offer) <= replyLimit(*link), "the configuration is too large for one message");
+        write(context.getResults().initConfiguration(), offer);
         return kj::READY_NOW;
     }
 
-    kj::Promise<void> reportVersion(ReportVersionContext context) override
+    kj::Promise<void> drainTarget(DrainTargetContext context) override
     {
         auto link = require();
         link->requireOpen();
-        auto params = context.getParams();
-        NodeId node { params.getNode() };
+        auto service = readServiceName(context.getParams().getService());
+        KJ_REQUIRE(service.has_value(), "malformed service name");
+        bool isDrained = context.getParams().getIsDrained();
+        auto fulfiller = kj::newPromiseAndFulfiller<bool>();
+        auto shared = std::make_shared<kj::Own<kj::PromiseFulfiller<bool>>>(kj::mv(fulfiller.fulfiller));
+        auto reply = [shared](bool isKnown) { (*shared)->fulfill(kj::cp(isKnown)); };
         link->m_context.loop.guard(
-            [&] { link->m_context.handler.versionReported(link->m_info, node, params.getVersion()); });
-        return kj::READY_NOW;
+            [&] { link->m_context.handler.drainArrived(link->m_info, service.value(), isDrained, reply); });
+        return fulfiller.promise.then([context](bool isKnown) mutable { context.getResults().setIsKnown(isKnown); });
     }
 
 private:
--- a/Source/Schema/Generated/Peer.capnp.c++
+++ b/Source/Schema/Generated/Peer.capnp.c++
@@ -876,45 +876,52 @@
   4, 10, i_9e198d116e30ff07, nullptr, nullptr, { &s_9e198d116e30ff07, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<64> b_f69a91492f61c2e1 = {
+static const ::capnp::_::AlignedData<79> b_f69a91492f61c2e1 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     225, 194,  97,  47,  73, 145, 154, 246,
      11,   0,   0,   0,   1,   0,   2,   0,
      52,  76, 233,  98, 134, 105, 138, 152,
-      1,   0,   7,   0,   0,   0,   0,   0,
+      2,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 170,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 175,   0,   0,   0,
+     25,   0,   0,   0, 231,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      80, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  67,  97, 108, 108,  81,
     117, 101, 114, 121,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     12,   0,   0,   0,   3,   0,   4,   0,
+     16,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     69,   0,   0,   0,  26,   0,   0,   0,
+     97,   0,   0,   0,  26,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     64,   0,   0,   0,   3,   0,   1,   0,
-     76,   0,   0,   0,   2,   0,   1,   0,
+     92,   0,   0,   0,   3,   0,   1,   0,
+    104,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     73,   0,   0,   0,  74,   0,   0,   0,
+    101,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     72,   0,   0,   0,   3,   0,   1,   0,
-     84,   0,   0,   0,   2,   0,   1,   0,
+    100,   0,   0,   0,   3,   0,   1,   0,
+    112,   0,   0,   0,   2,   0,   1,   0,
       2,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   1,   0,   2,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     81,   0,   0,   0,  74,   0,   0,   0,
+    109,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     80,   0,   0,   0,   3,   0,   1,   0,
-     92,   0,   0,   0,   2,   0,   1,   0,
+    108,   0,   0,   0,   3,   0,   1,   0,
+    120,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    117,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112,   0,   0,   0,   3,   0,   1,   0,
+    124,   0,   0,   0,   2,   0,   1,   0,
     105, 100,   0,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
     223, 232,  98,  90, 179, 194, 235, 253,
@@ -939,6 +946,14 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 101, 114, 118, 105,  99, 101,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
@@ -947,11 +962,11 @@
 static const ::capnp::_::RawSchema* const d_f69a91492f61c2e1[] = {
   &s_fdebc2b35a62e8df,
 };
-static const uint16_t m_f69a91492f61c2e1[] = {2, 0, 1};
-static const uint16_t i_f69a91492f61c2e1[] = {0, 1, 2};
+static const uint16_t m_f69a91492f61c2e1[] = {2, 0, 1, 3};
+static const uint16_t i_f69a91492f61c2e1[] = {0, 1, 2, 3};
 const ::capnp::_::RawSchema s_f69a91492f61c2e1 = {
-  0xf69a91492f61c2e1, b_f69a91492f61c2e1.words, 64, d_f69a91492f61c2e1, m_f69a91492f61c2e1,
-  1, 3, i_f69a91492f61c2e1, nullptr, nullptr, { &s_f69a91492f61c2e1, nullptr, nullptr, 0, 0, nullptr }
+  0xf69a91492f61c2e1, b_f69a91492f61c2e1.words, 79, d_f69a91492f61c2e1, m_f69a91492f61c2e1,
+  1, 4, i_f69a91492f61c2e1, nullptr, nullptr, { &s_f69a91492f61c2e1, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<63> b_9151ebeb242be137 = {
@@ -1668,39 +1683,119 @@
   2, 9, i_e351605d57a71c9d, nullptr, nullptr, { &s_e351605d57a71c9d, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<53> b_9452ddf573246974 = {
+static const ::capnp::_::AlignedData<48> b_ff79bf2508397297 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
-    116, 105,  36, 115, 245, 221,  82, 148,
+    151, 114,  57,   8,  37, 191, 121, 255,
      11,   0,   0,   0,   1,   0,   1,   0,
      52,  76, 233,  98, 134, 105, 138, 152,
       1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 202,   0,   0,   0,
+     21,   0,   0,   0, 210,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      29,   0,   0,   0, 119,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      80, 101, 101, 114,  46,  99,  97, 112,
-    110, 112,  58,  67, 111, 110, 102, 105,
-    103, 117, 114,  97, 116, 105, 111, 110,
-      0,   0,   0,   0,   0,   0,   0,   0,
+    110, 112,  58,  82, 101, 109, 111, 118,
+    101, 100,  83, 101, 114, 118, 105,  99,
+    101,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
       8,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     41,   0,   0,   0,  66,   0,   0,   0,
+     41,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      36,   0,   0,   0,   3,   0,   1,   0,
      48,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     45,   0,   0,   0,  74,   0,   0,   0,
+     45,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+    110,  97, 109, 101,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     44,   0,   0,   0,   3,   0,   1,   0,
-     72,   0,   0,   0,   2,   0,   1,   0,
+    118, 101, 114, 115, 105, 111, 110,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_ff79bf2508397297 = b_ff79bf2508397297.words;
+#if !CAPNP_LITE
+static const uint16_t m_ff79bf2508397297[] = {0, 1};
+static const uint16_t i_ff79bf2508397297[] = {0, 1};
+const ::capnp::_::RawSchema s_ff79bf2508397297 = {
+  0xff79bf2508397297, b_ff79bf2508397297.words, 48, nullptr, m_ff79bf2508397297,
+  0, 2, i_ff79bf2508397297, nullptr, nullptr, { &s_ff79bf2508397297, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<104> b_9452ddf573246974 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    116, 105,  36, 115, 245, 221,  82, 148,
+     11,   0,   0,   0,   1,   0,   3,   0,
+     52,  76, 233,  98, 134, 105, 138, 152,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 202,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  31,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     80, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  67, 111, 110, 102, 105,
+    103, 117, 114,  97, 116, 105, 111, 110,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     20,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    125,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    120,   0,   0,   0,   3,   0,   1,   0,
+    132,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    129,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    128,   0,   0,   0,   3,   0,   1,   0,
+    156,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    153,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    152,   0,   0,   0,   3,   0,   1,   0,
+    164,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    161,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    156,   0,   0,   0,   3,   0,   1,   0,
+    184,   0,   0,   0,   2,   0,   1,   0,
+      4,   0,   0,   0, 128,   0,   0,   0,
+      0,   0,   1,   0,   4,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    181,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    180,   0,   0,   0,   3,   0,   1,   0,
+    192,   0,   0,   0,   2,   0,   1,   0,
     118, 101, 114, 115, 105, 111, 110,   0,
       9,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -1720,6 +1815,36 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     98,  97, 115, 101,  86, 101, 114, 115,
+    105, 111, 110,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101, 109, 111, 118, 101, 100,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    151, 114,  57,   8,  37, 191, 121, 255,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105, 115,  83, 101, 114, 118, 105, 110,
+    103,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
@@ -1727,12 +1852,13 @@
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_9452ddf573246974[] = {
   &s_e351605d57a71c9d,
+  &s_ff79bf2508397297,
 };
-static const uint16_t m_9452ddf573246974[] = {1, 0};
-static const uint16_t i_9452ddf573246974[] = {0, 1};
+static const uint16_t m_9452ddf573246974[] = {2, 4, 3, 1, 0};
+static const uint16_t i_9452ddf573246974[] = {0, 1, 2, 3, 4};
 const ::capnp::_::RawSchema s_9452ddf573246974 = {
-  0x9452ddf573246974, b_9452ddf573246974.words, 53, d_9452ddf573246974, m_9452ddf573246974,
-  1, 2, i_9452ddf573246974, nullptr, nullptr, { &s_9452ddf573246974, nullptr, nullptr, 0, 0, nullptr }
+  0x9452ddf573246974, b_9452ddf573246974.words, 104, d_9452ddf573246974, m_9452ddf573246974,
+  2, 5, i_9452ddf573246974, nullptr, nullptr, { &s_9452ddf573246974, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<90> b_c67d35f4ef947a62 = {
@@ -1803,7 +1929,7 @@
       6,   0,   0,   0,   0,   0,   0,   0,
      46,  28, 233, 236, 209, 151, 109, 212,
     122,  35, 108, 193, 179,  51,  14, 178,
-     73,   0,   0,   0, 114,   0,   0,   0,
+     73,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -1822,8 +1948,8 @@
     102, 105, 103, 117, 114,  97, 116, 105,
     111, 110,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
-    114, 101, 112, 111, 114, 116,  86, 101,
-    114, 115, 105, 111, 110,   0,   0,   0,
+    100, 114,  97, 105, 110,  84,  97, 114,
+    103, 101, 116,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
@@ -1845,7 +1971,7 @@
   &s_ee062d49cb7c9d6e,
   &s_f1340950f4fe2264,
 };
-static const uint16_t m_c67d35f4ef947a62[] = {2, 3, 5, 0, 1, 4, 6};
+static const uint16_t m_c67d35f4ef947a62[] = {2, 3, 6, 5, 0, 1, 4};
 const ::capnp::_::RawSchema s_c67d35f4ef947a62 = {
   0xc67d35f4ef947a62, b_c67d35f4ef947a62.words, 90, d_c67d35f4ef947a62, m_c67d35f4ef947a62,
   14, 7, nullptr, nullptr, nullptr, { &s_c67d35f4ef947a62, nullptr, nullptr, 0, 0, nullptr }
@@ -2316,17 +2442,17 @@
   1, 1, i_a37b9ba1a42d6703, nullptr, nullptr, { &s_a37b9ba1a42d6703, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<18> b_cc07c9a195ec73dc = {
+static const ::capnp::_::AlignedData<34> b_cc07c9a195ec73dc = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     220, 115, 236, 149, 161, 201,   7, 204,
-     16,   0,   0,   0,   1,   0,   0,   0,
+     16,   0,   0,   0,   1,   0,   1,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0,  82,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
+     33,   0,   0,   0,  63,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      80, 101, 101, 114,  46,  99,  97, 112,
@@ -2334,13 +2460,31 @@
     102, 101, 116,  99, 104,  67, 111, 110,
     102, 105, 103, 117, 114,  97, 116, 105,
     111, 110,  36,  80,  97, 114,  97, 109,
-    115,   0,   0,   0,   0,   0,   0,   0, }
+    115,   0,   0,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    115, 105, 110,  99, 101,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_cc07c9a195ec73dc = b_cc07c9a195ec73dc.words;
 #if !CAPNP_LITE
+static const uint16_t m_cc07c9a195ec73dc[] = {0};
+static const uint16_t i_cc07c9a195ec73dc[] = {0};
 const ::capnp::_::RawSchema s_cc07c9a195ec73dc = {
-  0xcc07c9a195ec73dc, b_cc07c9a195ec73dc.words, 18, nullptr, nullptr,
-  0, 0, nullptr, nullptr, nullptr, { &s_cc07c9a195ec73dc, nullptr, nullptr, 0, 0, nullptr }
+  0xcc07c9a195ec73dc, b_cc07c9a195ec73dc.words, 34, nullptr, m_cc07c9a195ec73dc,
+  0, 1, i_cc07c9a195ec73dc, nullptr, nullptr, { &s_cc07c9a195ec73dc, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<35> b_9f92877a3757e0ce = {
@@ -2392,14 +2536,14 @@
   1, 1, i_9f92877a3757e0ce, nullptr, nullptr, { &s_9f92877a3757e0ce, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<48> b_d46d97d1ece91c2e = {
+static const ::capnp::_::AlignedData<49> b_d46d97d1ece91c2e = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      46,  28, 233, 236, 209, 151, 109, 212,
-     16,   0,   0,   0,   1,   0,   2,   0,
+     16,   0,   0,   0,   1,   0,   1,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   7,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  42,   1,   0,   0,
+     21,   0,   0,   0,  26,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      29,   0,   0,   0, 119,   0,   0,   0,
@@ -2407,74 +2551,93 @@
       0,   0,   0,   0,   0,   0,   0,   0,
      80, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,  46,
-    114, 101, 112, 111, 114, 116,  86, 101,
-    114, 115, 105, 111, 110,  36,  80,  97,
-    114,  97, 109, 115,   0,   0,   0,   0,
+    100, 114,  97, 105, 110,  84,  97, 114,
+    103, 101, 116,  36,  80,  97, 114,  97,
+    109, 115,   0,   0,   0,   0,   0,   0,
       8,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     41,   0,   0,   0,  42,   0,   0,   0,
+     41,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      36,   0,   0,   0,   3,   0,   1,   0,
      48,   0,   0,   0,   2,   0,   1,   0,
-      1,   0,   0,   0,   1,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     45,   0,   0,   0,  66,   0,   0,   0,
+     45,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     40,   0,   0,   0,   3,   0,   1,   0,
-     52,   0,   0,   0,   2,   0,   1,   0,
-    110, 111, 100, 101,   0,   0,   0,   0,
-      9,   0,   0,   0,   0,   0,   0,   0,
+     44,   0,   0,   0,   3,   0,   1,   0,
+     56,   0,   0,   0,   2,   0,   1,   0,
+    115, 101, 114, 118, 105,  99, 101,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      9,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    118, 101, 114, 115, 105, 111, 110,   0,
-      9,   0,   0,   0,   0,   0,   0,   0,
+    105, 115,  68, 114,  97, 105, 110, 101,
+    100,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      9,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_d46d97d1ece91c2e = b_d46d97d1ece91c2e.words;
 #if !CAPNP_LITE
-static const uint16_t m_d46d97d1ece91c2e[] = {0, 1};
+static const uint16_t m_d46d97d1ece91c2e[] = {1, 0};
 static const uint16_t i_d46d97d1ece91c2e[] = {0, 1};
 const ::capnp::_::RawSchema s_d46d97d1ece91c2e = {
-  0xd46d97d1ece91c2e, b_d46d97d1ece91c2e.words, 48, nullptr, m_d46d97d1ece91c2e,
+  0xd46d97d1ece91c2e, b_d46d97d1ece91c2e.words, 49, nullptr, m_d46d97d1ece91c2e,
   0, 2, i_d46d97d1ece91c2e, nullptr, nullptr, { &s_d46d97d1ece91c2e, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<17> b_b20e33b3c16c237a = {
+static const ::capnp::_::AlignedData<33> b_b20e33b3c16c237a = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     122,  35, 108, 193, 179,  51,  14, 178,
-     16,   0,   0,   0,   1,   0,   0,   0,
+     16,   0,   0,   0,   1,   0,   1,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  50,   1,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  34,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      80, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,  46,
-    114, 101, 112, 111, 114, 116,  86, 101,
-    114, 115, 105, 111, 110,  36,  82, 101,
-    115, 117, 108, 116, 115,   0,   0,   0, }
+    100, 114,  97, 105, 110,  84,  97, 114,
+    103, 101, 116,  36,  82, 101, 115, 117,
+    108, 116, 115,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    105, 115,  75, 110, 111, 119, 110,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_b20e33b3c16c237a = b_b20e33b3c16c237a.words;
 #if !CAPNP_LITE
+static const uint16_t m_b20e33b3c16c237a[] = {0};
+static const uint16_t i_b20e33b3c16c237a[] = {0};
 const ::capnp::_::RawSchema s_b20e33b3c16c237a = {
-  0xb20e33b3c16c237a, b_b20e33b3c16c237a.words, 17, nullptr, nullptr,
-  0, 0, nullptr, nullptr, nullptr, { &s_b20e33b3c16c237a, nullptr, nullptr, 0, 0, nullptr }
+  0xb20e33b3c16c237a, b_b20e33b3c16c237a.words, 33, nullptr, m_b20e33b3c16c237a,
+  0, 1, i_b20e33b3c16c237a, nullptr, nullptr, { &s_b20e33b3c16c237a, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 }  // namespace schemas
@@ -2597,6 +2760,14 @@
 constexpr ::capnp::_::RawSchema const* ServiceDefinition::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// RemovedService
+constexpr uint16_t RemovedService::_capnpPrivate::dataWordSize;
+constexpr uint16_t RemovedService::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind RemovedService::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* RemovedService::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // Configuration
 constexpr uint16_t Configuration::_capnpPrivate::dataWordSize;
 constexpr uint16_t Configuration::_capnpPrivate::pointerCount;
@@ -2666,14 +2837,14 @@
       "Peer.capnp:Peer", "fetchConfiguration",
       0xc67d35f4ef947a62ull, 5);
 }
-::capnp::Request< ::Berylport::Schema::Peer::ReportVersionParams,  ::Berylport::Schema::Peer::ReportVersionResults>
-Peer::Client::reportVersionRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
-  return newCall< ::Berylport::Schema::Peer::ReportVersionParams,  ::Berylport::Schema::Peer::ReportVersionResults>(
+::capnp::Request< ::Berylport::Schema::Peer::DrainTargetParams,  ::Berylport::Schema::Peer::DrainTargetResults>
+Peer::Client::drainTargetRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::Berylport::Schema::Peer::DrainTargetParams,  ::Berylport::Schema::Peer::DrainTargetResults>(
       0xc67d35f4ef947a62ull, 6, sizeHint);
 }
-::kj::Promise<void> Peer::Server::reportVersion(ReportVersionContext) {
+::kj::Promise<void> Peer::Server::drainTarget(DrainTargetContext) {
   return ::capnp::Capability::Server::internalUnimplemented(
-      "Peer.capnp:Peer", "reportVersion",
+      "Peer.capnp:Peer", "drainTarget",
       0xc67d35f4ef947a62ull, 6);
 }
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
@@ -2728,8 +2899,8 @@
       };
     case 6:
       return {
-        reportVersion(::capnp::Capability::Server::internalGetTypedContext<
-             ::Berylport::Schema::Peer::ReportVersionParams,  ::Berylport::Schema::Peer::ReportVersionResults>(context)),
+        drainTarget(::capnp::Capability::Server::internalGetTypedContext<
+             ::Berylport::Schema::Peer::DrainTargetParams,  ::Berylport::Schema::Peer::DrainTargetResults>(context)),
         false
       };
     default:
@@ -2843,20 +3014,20 @@
 constexpr ::capnp::_::RawSchema const* Peer::FetchConfigurationResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-// Peer::ReportVersionParams
-constexpr uint16_t Peer::ReportVersionParams::_capnpPrivate::dataWordSize;
-constexpr uint16_t Peer::ReportVersionParams::_capnpPrivate::pointerCount;
+// Peer::DrainTargetParams
+constexpr uint16_t Peer::DrainTargetParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::DrainTargetParams::_capnpPrivate::pointerCount;
 #if !CAPNP_LITE
-constexpr ::capnp::Kind Peer::ReportVersionParams::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Peer::ReportVersionParams::_capnpPrivate::schema;
+constexpr ::capnp::Kind Peer::DrainTargetParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::DrainTargetParams::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-// Peer::ReportVersionResults
-constexpr uint16_t Peer::ReportVersionResults::_capnpPrivate::dataWordSize;
-constexpr uint16_t Peer::ReportVersionResults::_capnpPrivate::pointerCount;
+// Peer::DrainTargetResults
+constexpr uint16_t Peer::DrainTargetResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::DrainTargetResults::_capnpPrivate::pointerCount;
 #if !CAPNP_LITE
-constexpr ::capnp::Kind Peer::ReportVersionResults::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Peer::ReportVersionResults::_capnpPrivate::schema;
+constexpr ::capnp::Kind Peer::DrainTargetResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::DrainTargetResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
 
--- a/Source/Schema/Generated/Peer.capnp.h
+++ b/Source/Schema/Generated/Peer.capnp.h
@@ -85,6 +85,7 @@
 CAPNP_DECLARE_ENUM(HelloStatus, faab58e4bd5aedff);
 CAPNP_DECLARE_SCHEMA(e9f60357e9ab71d2);
 CAPNP_DECLARE_SCHEMA(e351605d57a71c9d);
+CAPNP_DECLARE_SCHEMA(ff79bf2508397297);
 CAPNP_DECLARE_SCHEMA(9452ddf573246974);
 CAPNP_DECLARE_SCHEMA(c67d35f4ef947a62);
 CAPNP_DECLARE_SCHEMA(f1340950f4fe2264);
@@ -214,7 +215,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f69a91492f61c2e1, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(f69a91492f61c2e1, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -334,6 +335,21 @@
   };
 };
 
+struct RemovedService {
+  RemovedService() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ff79bf2508397297, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Configuration {
   Configuration() = delete;
 
@@ -342,7 +358,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9452ddf573246974, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(9452ddf573246974, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -369,8 +385,8 @@
   struct QueryResults;
   struct FetchConfigurationParams;
   struct FetchConfigurationResults;
-  struct ReportVersionParams;
-  struct ReportVersionResults;
+  struct DrainTargetParams;
+  struct DrainTargetResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -538,7 +554,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cc07c9a195ec73dc, 0, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(cc07c9a195ec73dc, 1, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -560,30 +576,30 @@
   };
 };
 
-struct Peer::ReportVersionParams {
-  ReportVersionParams() = delete;
+struct Peer::DrainTargetParams {
+  DrainTargetParams() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d46d97d1ece91c2e, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(d46d97d1ece91c2e, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct Peer::ReportVersionResults {
-  ReportVersionResults() = delete;
+struct Peer::DrainTargetResults {
+  DrainTargetResults() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b20e33b3c16c237a, 0, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(b20e33b3c16c237a, 1, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1249,6 +1265,9 @@
 
   inline  ::int64_t getDeadline() const;
 
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1290,6 +1309,13 @@
   inline  ::int64_t getDeadline();
   inline void setDeadline( ::int64_t value);
 
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2019,6 +2045,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class RemovedService::Reader {
+public:
+  typedef RemovedService Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline  ::uint64_t getVersion() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RemovedService::Builder {
+public:
+  typedef RemovedService Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RemovedService::Pipeline {
+public:
+  typedef RemovedService Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Configuration::Reader {
 public:
   typedef Configuration Reads;
@@ -2041,6 +2153,13 @@
   inline bool hasServices() const;
   inline  ::capnp::List< ::Berylport::Schema::ServiceDefinition,  ::capnp::Kind::STRUCT>::Reader getServices() const;
 
+  inline  ::uint64_t getBaseVersion() const;
+
+  inline bool hasRemoved() const;
+  inline  ::capnp::List< ::Berylport::Schema::RemovedService,  ::capnp::Kind::STRUCT>::Reader getRemoved() const;
+
+  inline bool getIsServing() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2079,6 +2198,19 @@
   inline void adoptServices(::capnp::Orphan< ::capnp::List< ::Berylport::Schema::ServiceDefinition,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Berylport::Schema::ServiceDefinition,  ::capnp::Kind::STRUCT>> disownServices();
 
+  inline  ::uint64_t getBaseVersion();
+  inline void setBaseVersion( ::uint64_t value);
+
+  inline bool hasRemoved();
+  inline  ::capnp::List< ::Berylport::Schema::RemovedService,  ::capnp::Kind::STRUCT>::Builder getRemoved();
+  inline void setRemoved( ::capnp::List< ::Berylport::Schema::RemovedService,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Berylport::Schema::RemovedService,  ::capnp::Kind::STRUCT>::Builder initRemoved(unsigned int size);
+  inline void adoptRemoved(::capnp::Orphan< ::capnp::List< ::Berylport::Schema::RemovedService,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Berylport::Schema::RemovedService,  ::capnp::Kind::STRUCT>> disownRemoved();
+
+  inline bool getIsServing();
+  inline void setIsServing(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2136,7 +2268,7 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::Berylport::Schema::Peer::FetchConfigurationParams,  ::Berylport::Schema::Peer::FetchConfigurationResults> fetchConfigurationRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Berylport::Schema::Peer::ReportVersionParams,  ::Berylport::Schema::Peer::ReportVersionResults> reportVersionRequest(
+  ::capnp::Request< ::Berylport::Schema::Peer::DrainTargetParams,  ::Berylport::Schema::Peer::DrainTargetResults> drainTargetRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
@@ -2178,10 +2310,10 @@
   typedef  ::Berylport::Schema::Peer::FetchConfigurationResults FetchConfigurationResults;
   typedef ::capnp::CallContext<FetchConfigurationParams, FetchConfigurationResults> FetchConfigurationContext;
   virtual ::kj::Promise<void> fetchConfiguration(FetchConfigurationContext context);
-  typedef  ::Berylport::Schema::Peer::ReportVersionParams ReportVersionParams;
-  typedef  ::Berylport::Schema::Peer::ReportVersionResults ReportVersionResults;
-  typedef ::capnp::CallContext<ReportVersionParams, ReportVersionResults> ReportVersionContext;
-  virtual ::kj::Promise<void> reportVersion(ReportVersionContext context);
+  typedef  ::Berylport::Schema::Peer::DrainTargetParams DrainTargetParams;
+  typedef  ::Berylport::Schema::Peer::DrainTargetResults DrainTargetResults;
+  typedef ::capnp::CallContext<DrainTargetParams, DrainTargetResults> DrainTargetContext;
+  virtual ::kj::Promise<void> drainTarget(DrainTargetContext context);
 
   inline  ::Berylport::Schema::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -3018,6 +3150,8 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint64_t getSince() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3046,6 +3180,9 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint64_t getSince();
+  inline void setSince( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3154,9 +3291,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ReportVersionParams::Reader {
+class Peer::DrainTargetParams::Reader {
 public:
-  typedef ReportVersionParams Reads;
+  typedef DrainTargetParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3171,9 +3308,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getNode() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-  inline  ::uint64_t getVersion() const;
+  inline bool getIsDrained() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3187,9 +3325,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ReportVersionParams::Builder {
+class Peer::DrainTargetParams::Builder {
 public:
-  typedef ReportVersionParams Builds;
+  typedef DrainTargetParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3203,11 +3341,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getNode();
-  inline void setNode( ::uint64_t value);
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline  ::uint64_t getVersion();
-  inline void setVersion( ::uint64_t value);
+  inline bool getIsDrained();
+  inline void setIsDrained(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3219,9 +3361,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ReportVersionParams::Pipeline {
+class Peer::DrainTargetParams::Pipeline {
 public:
-  typedef ReportVersionParams Pipelines;
+  typedef DrainTargetParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3235,9 +3377,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ReportVersionResults::Reader {
+class Peer::DrainTargetResults::Reader {
 public:
-  typedef ReportVersionResults Reads;
+  typedef DrainTargetResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3252,6 +3394,8 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool getIsKnown() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3264,9 +3408,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ReportVersionResults::Builder {
+class Peer::DrainTargetResults::Builder {
 public:
-  typedef ReportVersionResults Builds;
+  typedef DrainTargetResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3280,6 +3424,9 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool getIsKnown();
+  inline void setIsKnown(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3290,9 +3437,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ReportVersionResults::Pipeline {
+class Peer::DrainTargetResults::Pipeline {
 public:
-  typedef ReportVersionResults Pipelines;
+  typedef DrainTargetResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4037,6 +4184,40 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool CallQuery::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool CallQuery::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CallQuery::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CallQuery::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void CallQuery::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CallQuery::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void CallQuery::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CallQuery::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool CallAnswered::Reader::hasHttp() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4729,6 +4910,54 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool RemovedService::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RemovedService::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RemovedService::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RemovedService::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RemovedService::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RemovedService::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RemovedService::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RemovedService::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t RemovedService::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RemovedService::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RemovedService::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Configuration::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4777,6 +5006,68 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Configuration::Reader::getBaseVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Configuration::Builder::getBaseVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Configuration::Builder::setBaseVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Configuration::Reader::hasRemoved() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Configuration::Builder::hasRemoved() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Berylport::Schema::RemovedService,  ::capnp::Kind::STRUCT>::Reader Configuration::Reader::getRemoved() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Berylport::Schema::RemovedService,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Berylport::Schema::RemovedService,  ::capnp::Kind::STRUCT>::Builder Configuration::Builder::getRemoved() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Berylport::Schema::RemovedService,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Configuration::Builder::setRemoved( ::capnp::List< ::Berylport::Schema::RemovedService,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Berylport::Schema::RemovedService,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Berylport::Schema::RemovedService,  ::capnp::Kind::STRUCT>::Builder Configuration::Builder::initRemoved(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Berylport::Schema::RemovedService,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Configuration::Builder::adoptRemoved(
+    ::capnp::Orphan< ::capnp::List< ::Berylport::Schema::RemovedService,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Berylport::Schema::RemovedService,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Berylport::Schema::RemovedService,  ::capnp::Kind::STRUCT>> Configuration::Builder::disownRemoved() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Berylport::Schema::RemovedService,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Configuration::Reader::getIsServing() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool Configuration::Builder::getIsServing() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void Configuration::Builder::setIsServing(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -5130,6 +5421,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Peer::FetchConfigurationParams::Reader::getSince() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::FetchConfigurationParams::Builder::getSince() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::FetchConfigurationParams::Builder::setSince( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Peer::FetchConfigurationResults::Reader::hasConfiguration() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5169,32 +5474,66 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Peer::ReportVersionParams::Reader::getNode() const {
-  return _reader.getDataField< ::uint64_t>(
+inline bool Peer::DrainTargetParams::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::DrainTargetParams::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::DrainTargetParams::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::DrainTargetParams::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::DrainTargetParams::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::DrainTargetParams::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::DrainTargetParams::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::DrainTargetParams::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::DrainTargetParams::Reader::getIsDrained() const {
+  return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Peer::ReportVersionParams::Builder::getNode() {
-  return _builder.getDataField< ::uint64_t>(
+inline bool Peer::DrainTargetParams::Builder::getIsDrained() {
+  return _builder.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Peer::ReportVersionParams::Builder::setNode( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void Peer::DrainTargetParams::Builder::setIsDrained(bool value) {
+  _builder.setDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Peer::ReportVersionParams::Reader::getVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool Peer::DrainTargetResults::Reader::getIsKnown() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Peer::ReportVersionParams::Builder::getVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool Peer::DrainTargetResults::Builder::getIsKnown() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Peer::ReportVersionParams::Builder::setVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Peer::DrainTargetResults::Builder::setIsKnown(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 }  // namespace
--- a/Source/Schema/Generated/Platform.capnp.h
+++ b/Source/Schema/Generated/Platform.capnp.h
@@ -5,6 +5,9 @@
 
 #include <capnp/generated-header-support.h>
 #include <kj/windows-sanity.h>
+#if !CAPNP_LITE
+#include <capnp/capability.h>
+#endif  // !CAPNP_LITE
 
 #if CAPNP_VERSION != 9002
 #error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
--- a/Source/Schema/Peer.capnp
+++ b/Source/Schema/Peer.capnp
@@ -97,6 +97,7 @@
   receiver @1 :UInt64;
   # Microseconds on the sender's steady clock.
   deadline @2 :Int64;
+  service @3 :Text;
 }
 
 struct CallAnswered {
@@ -160,9 +161,19 @@
   version @8 :UInt64;
 }
 
+struct RemovedService {
+  name @0 :Text;
+  version @1 :UInt64;
+}
+
+# What a node that holds the base version lacks; base version zero for a whole configuration.
 struct Configuration {
   version @0 :UInt64;
   services @1 :List(ServiceDefinition);
+  baseVersion @2 :UInt64;
+  removed @3 :List(RemovedService);
+  # The answering node itself serves calls.
+  isServing @4 :Bool;
 }
 
 interface Peer {
@@ -174,6 +185,7 @@
   call @2 (request :CallRequest) -> (reply :CallReply);
   cancel @3 (id :AttemptId) -> ();
   query @4 (query :CallQuery) -> (reply :CallReply);
-  fetchConfiguration @5 () -> (configuration :Configuration);
-  reportVersion @6 (node :UInt64, version :UInt64) -> ();
+  fetchConfiguration @5 (since :UInt64) -> (configuration :Configuration);
+  # Stops new work to the target of a service on the receiving node's VM, or allows it again.
+  drainTarget @6 (service :Text, isDrained :Bool) -> (isKnown :Bool);
 }
--- a/tests/Peer/PeerCodecTest.cpp
+++ b/tests/Peer/PeerCodecTest.cpp
@@ -110,7 +110,7 @@
     auto isReadable = [](const ServiceDefinition& definition) {
         capnp::MallocMessageBuilder message;
         auto builder = message.initRoot<Schema::Configuration>();
-        write(builder, ConfigurationSnapshot { .version = 1, .services = { definition } });
+        write(builder, ConfigurationOffer { .delta = { .version = 1, .changed = { definition } } });
         return readConfiguration(builder.asReader()).has_value();
     };
     EXPECT_TRUE(isReadable({ .name = ServiceName("bookings") }));
--- a/tests/Peer/PeerLinkTest.cpp
+++ b/tests/Peer/PeerLinkTest.cpp
@@ -381,7 +381,7 @@
     TestNode node(loop, b);
     auto link = connect(node.address());
     CallRequest request = createCall(a, 1, b);
-    CallQuery query { .id = request.id, .receiver = b, .deadline = request.deadline };
+    CallQuery query { .id = request.id, .service = request.service, .receiver = b, .deadline = request.deadline };
     std::vector<QueryReply> replies { CallPending { .id = request.id }, createAnswer(request, "held"),
         CallRefused { .id = request.id, .reason = RefusalReason::RefusedBefore, .retryAfter = {}, .load = {} },
         CallLost { .id = request.id, .reason = LossReason::AnswerDropped, .load = {} } };
@@ -398,22 +398,26 @@
     EXPECT_LE(node.handler.queries[0].deadline, request.deadline);
 }
 
-TEST_F(PeerLinkTest, ConfigurationIsFetchedAndVersionReported)
+TEST_F(PeerLinkTest, ConfigurationIsFetchedAndTargetDrained)
 {
     TestNode node(loop, b);
-    node.handler.snapshot.version = 42;
-    node.handler.snapshot.services = { { .name = ServiceName("bookings"), .queueLimit = 7, .version = 3 },
+    node.handler.offer = { .delta = { .baseVersion = 40, .version = 42 }, .isServing = true };
+    node.handler.offer.delta.removed = { { .name = ServiceName("quotesvc"), .version = 41 } };
+    node.handler.offer.delta.changed = { { .name = ServiceName("bookings"), .queueLimit = 7, .version = 3 },
         { .name = ServiceName("slotdesk"), .kind = RequestKind::Idempotent, .isHedged = true } };
     auto link = connect(node.address());
-    std::optional<Result<ConfigurationSnapshot, PeerError>> fetched;
-    std::optional<Result<void, PeerError>> reported;
-    link->fetchConfiguration([&](Result<ConfigurationSnapshot, PeerError> result) { fetched = std::move(result); });
-    link->reportVersion(a, 41, [&](Result<void, PeerError> result) { reported = std::move(result); });
-    ASSERT_TRUE(runUntil([&] { return fetched && reported; }));
+    std::optional<Result<ConfigurationOffer, PeerError>> fetched;
+    std::optional<Result<bool, PeerError>> drained;
+    link->fetchConfiguration(40, [&](Result<ConfigurationOffer, PeerError> result) { fetched = std::move(result); });
+    link->drainTarget(
+        ServiceName("slotdesk"), true, [&](Result<bool, PeerError> result) { drained = std::move(result); });
+    ASSERT_TRUE(runUntil([&] { return fetched && drained; }));
     ASSERT_TRUE(fetched->has_value());
-    EXPECT_EQ(fetched->value(), node.handler.snapshot);
-    EXPECT_TRUE(reported->has_value());
-    EXPECT_EQ(node.handler.versions.at(a), 41u);
+    EXPECT_EQ(fetched->value(), node.handler.offer);
+    EXPECT_EQ(node.handler.askedSince, 40u);
+    ASSERT_TRUE(drained->has_value());
+    EXPECT_TRUE(drained->value());
+    EXPECT_TRUE(node.handler.drains.at(ServiceName("slotdesk")));
 }
 
 // Fails when the answer to a confirmation overtakes a cancellation that the peer had sent before (design, 4.2).
--- a/tests/Peer/PeerLinksTest.cpp
+++ b/tests/Peer/PeerLinksTest.cpp
@@ -196,7 +196,7 @@
 TEST_F(PeerLinksTest, CancelQueryAndConfigurationUseTheSameLink)
 {
     TestNode node(loop, NodeId { 0xb });
-    node.handler.snapshot.version = 5;
+    node.handler.offer.delta.version = 5;
     CallRequest request = createCall(a, 1, node.id);
     node.handler.queryReply = CallPending { .id = request.id };
     auto links = create(patientOptions());
@@ -205,14 +205,15 @@
     links->cancel(node.address(), { .id = request.id });
     bool isQueried = false;
     uint64_t version = 0;
-    bool isReported = false;
-    links->query(node.address(), { .id = request.id, .receiver = node.id, .deadline = request.deadline },
+    bool isDrained = false;
+    links->query(node.address(),
+        { .id = request.id, .service = request.service, .receiver = node.id, .deadline = request.deadline },
         [&](const Result<QueryReply, PeerError>& reply) { isQueried = reply.has_value(); });
-    links->fetchConfiguration(node.address(),
-        [&](const Result<ConfigurationSnapshot, PeerError>& result) { version = result.value().version; });
-    links->reportVersion(
-        node.address(), a, 5, [&](const Result<void, PeerError>& result) { isReported = result.has_value(); });
-    ASSERT_TRUE(runUntil([&] { return isQueried && version == 5 && isReported; }));
+    links->fetchConfiguration(node.address(), 0,
+        [&](const Result<ConfigurationOffer, PeerError>& result) { version = result.value().delta.version; });
+    links->drainTarget(node.address(), request.service, true,
+        [&](const Result<bool, PeerError>& result) { isDrained = result.has_value(); });
+    ASSERT_TRUE(runUntil([&] { return isQueried && version == 5 && isDrained; }));
     EXPECT_EQ(node.handler.log.back(), "cancel " + toText(request.id.call));
     EXPECT_EQ(node.server->counters().accepted, 1u);
 }
--- a/tests/Peer/PeerTestSupport.h
+++ b/tests/Peer/PeerTestSupport.h
@@ -43,8 +43,16 @@
         if (queryReply)
             reply(*queryReply);
     }
-    ConfigurationSnapshot configuration() override { return snapshot; }
-    void versionReported(const LinkInfo&, NodeId node, uint64_t version) override { versions[node] = version; }
+    ConfigurationOffer configuration(uint64_t since) override
+    {
+        askedSince = since;
+        return offer;
+    }
+    void drainArrived(const LinkInfo&, const ServiceName& service, bool isDrained, ReplyToDrain reply) override
+    {
+        drains[service] = isDrained;
+        reply(true);
+    }
     void linkOpened(const LinkInfo& link) override { opened.push_back(link.peer); }
     void linkClosed(const LinkInfo& link) override { closed.push_back(link.peer); }
 
@@ -53,8 +61,9 @@
     std::vector<std::string> log;
     std::vector<CallQuery> queries;
     std::optional<QueryReply> queryReply;
-    ConfigurationSnapshot snapshot;
-    std::map<NodeId, uint64_t> versions;
+    ConfigurationOffer offer;
+    uint64_t askedSince { 0 };
+    std::map<ServiceName, bool> drains;
     std::vector<NodeId> opened;
     std::vector<NodeId> closed;
 };
