Pass the linter with links and servers

Change: explicit ordering for LinkId and peer addresses; queries by reference. Conclusion: no behaviour changes.

--- a/Source/Peer/PeerLink.cpp
+++ b/Source/Peer/PeerLink.cpp
@@ -60,7 +60,7 @@
     void connect();
     void send(CallRequest&&, CallCompletion&&);
     void cancel(const CallCancel&);
-    void query(CallQuery&&, QueryCompletion&&);
+    void query(const CallQuery&, QueryCompletion&&);
     void fetchConfiguration(ConfigurationCompletion&&);
     void reportVersion(NodeId, uint64_t version, ReportCompletion&&);
     void closeLater(PeerError);
@@ -434,7 +434,7 @@
     m_tasks->add(promise.then([finish, read](Response&& response) { finish(read(response)); }, kj::mv(failed)));
 }
 
-void PeerLink::Private::query(CallQuery&& query, QueryCompletion&& completion)
+void PeerLink::Private::query(const CallQuery& query, QueryCompletion&& completion)
 {
     uint64_t key = m_nextRequest;
     auto fail = [this, completion](PeerError ec) { deliver([completion, ec] { completion(ec); }); };
@@ -501,9 +501,9 @@
 
 void PeerLink::cancel(const CallCancel& cancelled) { m_private->cancel(cancelled); }
 
-void PeerLink::query(CallQuery query, QueryCompletion completion)
+void PeerLink::query(const CallQuery& query, QueryCompletion completion)
 {
-    m_private->query(std::move(query), std::move(completion));
+    m_private->query(query, std::move(completion));
 }
 
 void PeerLink::fetchConfiguration(ConfigurationCompletion completion)
--- a/Source/Peer/PeerLink.h
+++ b/Source/Peer/PeerLink.h
@@ -14,7 +14,7 @@
     // Null when the node on the endpoint is not known yet; any node is then accepted.
     NodeId node;
     Endpoint endpoint;
-    auto operator<=>(const PeerAddress&) const = default;
+    bool operator==(const PeerAddress&) const = default;
 };
 
 // The request was never handed to the socket and never will be.
@@ -61,7 +61,7 @@
     void send(CallRequest, CallCompletion);
     // Takes back a request that still waits for the link; otherwise tells the peer.
     void cancel(const CallCancel&);
-    void query(CallQuery, QueryCompletion);
+    void query(const CallQuery&, QueryCompletion);
     void fetchConfiguration(ConfigurationCompletion);
     void reportVersion(NodeId, uint64_t version, ReportCompletion);
     void close(PeerError = PeerError::Closed);
--- a/Source/Peer/PeerLinks.cpp
+++ b/Source/Peer/PeerLinks.cpp
@@ -5,11 +5,24 @@
 #include "Peer/Backoff.h"
 
 #include <map>
+#include <tuple>
 #include <unordered_set>
 #include <vector>
 
 namespace Berylport {
 
+namespace {
+
+struct AddressLess {
+    bool operator()(const PeerAddress& left, const PeerAddress& right) const
+    {
+        auto key = [](const PeerAddress& it) { return std::tie(it.node.value, it.endpoint.address, it.endpoint.port); };
+        return key(left) < key(right);
+    }
+};
+
+} // namespace
+
 class PeerLinks::Private {
 public:
     Private(EventLoop& loop, NodeId self, uint64_t seed, PeerLinksOptions options, PeerLinksEvents events)
@@ -57,7 +70,7 @@
         // Tells the events of this link from those of an earlier one to the same peer.
         uint64_t generation { 0 };
     };
-    using Entries = std::map<PeerAddress, Entry>;
+    using Entries = std::map<PeerAddress, Entry, AddressLess>;
 
     Result<PeerLink*, PeerError> acquire(const PeerAddress&);
     bool makeRoom();
@@ -286,10 +299,10 @@
     m_private->cancel(address, cancelled);
 }
 
-void PeerLinks::query(const PeerAddress& address, CallQuery query, QueryCompletion completion)
+void PeerLinks::query(const PeerAddress& address, const CallQuery& query, QueryCompletion completion)
 {
     m_private->withLink(address, std::move(completion),
-        [&](PeerLink& link, QueryCompletion&& finished) { link.query(std::move(query), std::move(finished)); });
+        [&](PeerLink& link, QueryCompletion&& finished) { link.query(query, std::move(finished)); });
 }
 
 void PeerLinks::fetchConfiguration(const PeerAddress& address, ConfigurationCompletion completion)
--- a/Source/Peer/PeerLinks.h
+++ b/Source/Peer/PeerLinks.h
@@ -41,7 +41,7 @@
     // is still outstanding and says nothing about it.
     void send(const PeerAddress&, CallRequest, CallCompletion);
     void cancel(const PeerAddress&, const CallCancel&);
-    void query(const PeerAddress&, CallQuery, QueryCompletion);
+    void query(const PeerAddress&, const CallQuery&, QueryCompletion);
     void fetchConfiguration(const PeerAddress&, ConfigurationCompletion);
     void reportVersion(const PeerAddress&, NodeId, uint64_t version, ReportCompletion);
     // Closes the link and stops reconnecting, as for a node known to be gone.
--- a/Source/Peer/PeerServer.h
+++ b/Source/Peer/PeerServer.h
@@ -14,7 +14,8 @@
 // Names one accepted link of this process.
 struct LinkId {
     uint64_t value { 0 };
-    auto operator<=>(const LinkId&) const = default;
+    bool operator==(const LinkId&) const = default;
+    bool operator<(const LinkId& other) const { return value < other.value; }
 };
 
 struct LinkInfo {
--- a/tests/Peer/PeerLinkTest.cpp
+++ b/tests/Peer/PeerLinkTest.cpp
@@ -408,12 +408,12 @@
     std::optional<Result<ConfigurationSnapshot, PeerError>> fetched;
     std::optional<Result<void, PeerError>> reported;
     link->fetchConfiguration([&](Result<ConfigurationSnapshot, PeerError> result) { fetched = std::move(result); });
-    link->reportVersion(a, 41, [&](Result<void, PeerError> result) { reported = std::move(result); });
+    link->reportVersion(a, 41, [&](const Result<void, PeerError>& result) { reported = result; });
     ASSERT_TRUE(runUntil([&] { return fetched && reported; }));
     ASSERT_TRUE(fetched->has_value());
     EXPECT_EQ(fetched->value(), node.handler.snapshot);
     EXPECT_TRUE(reported->has_value());
-    EXPECT_EQ(node.handler.versions.at(a), 41u);
+    EXPECT_EQ(node.handler.versions.at(a.value), 41u);
 }
 
 // Fails when the answer to a confirmation overtakes a cancellation that the peer had sent before (design, 4.2).
--- a/tests/Peer/PeerTestSupport.h
+++ b/tests/Peer/PeerTestSupport.h
@@ -44,7 +44,7 @@
             reply(*queryReply);
     }
     ConfigurationSnapshot configuration() override { return snapshot; }
-    void versionReported(const LinkInfo&, NodeId node, uint64_t version) override { versions[node] = version; }
+    void versionReported(const LinkInfo&, NodeId node, uint64_t version) override { versions[node.value] = version; }
     void linkOpened(const LinkInfo& link) override { opened.push_back(link.peer); }
     void linkClosed(const LinkInfo& link) override { closed.push_back(link.peer); }
 
@@ -54,7 +54,8 @@
     std::vector<CallQuery> queries;
     std::optional<QueryReply> queryReply;
     ConfigurationSnapshot snapshot;
-    std::map<NodeId, uint64_t> versions;
+    // By the value of the node id.
+    std::map<uint64_t, uint64_t> versions;
     std::vector<NodeId> opened;
     std::vector<NodeId> closed;
 };
