--- a/Source/Node/TargetTask.cpp
+++ b/Source/Node/TargetTask.cpp
@@ -386,7 +386,7 @@
         setHeader(http.headers, Header::traceParent, traceParentText(span->second->context()));
     AttemptId id = start.id;
     if (!target.client) {
-        targetFinished(target, id, RequestNotSent {});
+        targetFinished(target, id, NotSent {});
         return;
     }
     SendOptions options { .deadline = start.deadline, .isIdempotent = start.kind == RequestKind::Idempotent };
@@ -400,9 +400,9 @@
     if (it == target.running.end())
         return;
     bool hasNotLeft = it->second.cancel();
-    SendResult result = RequestLost { .reason = LossReason::TargetClosed };
+    SendResult result = Lost { .reason = LossReason::TargetClosed };
     if (hasNotLeft)
-        result = RequestNotSent {};
+        result = NotSent {};
     targetFinished(target, cancel.id, std::move(result));
 }
 
@@ -439,11 +439,11 @@
         else
             target.probe.noteCallSucceeded(now);
         target.admission.targetAnswered(now, id, std::move(*response), actions);
-    } else if (auto* lost = std::get_if<RequestLost>(&result)) {
+    } else if (auto* lost = std::get_if<Lost>(&result)) {
         target.probe.noteCallFailed(now);
         target.admission.targetLost(now, id, lost->reason, actions);
     } else {
-        auto reason = std::get<RequestNotSent>(result).reason;
+        auto reason = std::get<NotSent>(result).reason;
         bool isRefused = reason == NotSentReason::ConnectFailed || reason == NotSentReason::ConnectTimeout;
         if (isRefused && !target.isRefusing) {
             target.isRefusing = true;
@@ -460,9 +460,9 @@
     auto running = std::exchange(target.running, {});
     for (auto& [id, handle] : running) {
         bool hasNotLeft = handle.cancel();
-        SendResult result = RequestLost { .reason = reason };
+        SendResult result = Lost { .reason = reason };
         if (hasNotLeft)
-            result = RequestNotSent { .reason = NotSentReason::PoolFull };
+            result = NotSent { .reason = NotSentReason::PoolFull };
         targetFinished(target, id, std::move(result));
     }
 }
--- a/Source/Peer/PeerLink.cpp
+++ b/Source/Peer/PeerLink.cpp
@@ -60,7 +60,7 @@
     void connect();
     void send(CallRequest&&, CallCompletion&&);
     void cancel(const CallCancel&);
-    void query(CallQuery&&, QueryCompletion&&);
+    void query(const CallQuery&, QueryCompletion&&);
     void fetchConfiguration(uint64_t since, ConfigurationCompletion&&);
     void drainTarget(const ServiceName&, bool isDrained, DrainCompletion&&);
     void closeLater(PeerError);
@@ -313,7 +313,7 @@
     for (auto& [id, call] : calls) {
         CallResult result = call.isWritten
             ? CallResult(CallReply(CallLost { .id = id, .reason = LossReason::LinkLost, .load = {} }))
-            : CallResult(NotSent { id, reason });
+            : CallResult(CallNotSent { id, reason });
         deliver([completion = std::move(call.completion), result = std::move(result)] { completion(result); });
     }
     for (auto& [key, request] : requests)
@@ -333,7 +333,7 @@
     else if (estimateSize(request) > m_options.maximumMessageBytes / 2)
         refusal = PeerError::MessageTooLarge;
     if (refusal) {
-        deliver([completion = std::move(completion), result = NotSent { id, *refusal }] { completion(result); });
+        deliver([completion = std::move(completion), result = CallNotSent { id, *refusal }] { completion(result); });
         return;
     }
     m_calls.emplace(id, Call { .completion = std::move(completion) });
@@ -361,7 +361,7 @@
 
 void PeerLink::Private::onCallFailed(const AttemptId& id, const kj::Exception& failure)
 {
-    // The end of the link decides between NotSent and CallLost for all its calls.
+    // The end of the link decides between CallNotSent and CallLost for all its calls.
     if (failure.getType() == kj::Exception::Type::DISCONNECTED) {
         closeLater(PeerError::LinkLost);
         return;
@@ -393,7 +393,7 @@
         m_waiting.begin(), m_waiting.end(), [&](const CallRequest& it) { return it.id == cancelled.id; });
     if (waiting != m_waiting.end()) {
         m_waiting.erase(waiting);
-        finishCall(cancelled.id, NotSent { cancelled.id, PeerError::Cancelled });
+        finishCall(cancelled.id, CallNotSent { cancelled.id, PeerError::Cancelled });
         return;
     }
     if (m_state != State::Open)
@@ -434,7 +434,7 @@
     m_tasks->add(promise.then([finish, read](Response&& response) { finish(read(response)); }, kj::mv(failed)));
 }
 
-void PeerLink::Private::query(CallQuery&& query, QueryCompletion&& completion)
+void PeerLink::Private::query(const CallQuery& query, QueryCompletion&& completion)
 {
     uint64_t key = m_nextRequest;
     auto fail = [this, completion](PeerError ec) { deliver([completion, ec] { completion(ec); }); };
@@ -504,9 +504,9 @@
 
 void PeerLink::cancel(const CallCancel& cancelled) { m_private->cancel(cancelled); }
 
-void PeerLink::query(CallQuery query, QueryCompletion completion)
+void PeerLink::query(const CallQuery& query, QueryCompletion completion)
 {
-    m_private->query(std::move(query), std::move(completion));
+    m_private->query(query, std::move(completion));
 }
 
 void PeerLink::fetchConfiguration(uint64_t since, ConfigurationCompletion completion)
--- a/Source/Peer/PeerLink.h
+++ b/Source/Peer/PeerLink.h
@@ -14,18 +14,19 @@
     // Null when the node on the endpoint is not known yet; any node is then accepted.
     NodeId node;
     Endpoint endpoint;
-    auto operator<=>(const PeerAddress&) const = default;
+    bool operator==(const PeerAddress&) const = default;
 };
 
 // The request was never handed to the socket and never will be.
-struct NotSent {
+struct CallNotSent {
     AttemptId id;
     PeerError cause { PeerError::Closed };
-    bool operator==(const NotSent&) const = default;
+    bool operator==(const CallNotSent&) const = default;
 };
 
-// A reply of the peer; CallLost{LinkLost} when the link was lost after a byte of the request may have left; or NotSent.
-using CallResult = Result<CallReply, NotSent>;
+// A reply of the peer; CallLost{LinkLost} when the link was lost after a byte of the request may have left; or
+// CallNotSent.
+using CallResult = Result<CallReply, CallNotSent>;
 using CallCompletion = std::function<void(CallResult)>;
 using QueryCompletion = std::function<void(Result<QueryReply, PeerError>)>;
 using ConfigurationCompletion = std::function<void(Result<ConfigurationOffer, PeerError>)>;
@@ -62,7 +63,7 @@
     void send(CallRequest, CallCompletion);
     // Takes back a request that still waits for the link; otherwise tells the peer.
     void cancel(const CallCancel&);
-    void query(CallQuery, QueryCompletion);
+    void query(const CallQuery&, QueryCompletion);
     // What the peer holds beyond the given version.
     void fetchConfiguration(uint64_t since, ConfigurationCompletion);
     void drainTarget(const ServiceName&, bool isDrained, DrainCompletion);
--- a/tests/Peer/PeerLinkTest.cpp
+++ b/tests/Peer/PeerLinkTest.cpp
@@ -163,7 +163,7 @@
     link->send(createCall(a, 2, b), results.completion(2));
     link->cancel({ .id = createCall(a, 1, b).id });
     ASSERT_TRUE(runUntil([&] { return results.bySequence.contains(1) && node.handler.held.size() == 1; }));
-    EXPECT_EQ(results.bySequence.at(1).error(), (NotSent { createCall(a, 1, b).id, PeerError::Cancelled }));
+    EXPECT_EQ(results.bySequence.at(1).error(), (CallNotSent { createCall(a, 1, b).id, PeerError::Cancelled }));
     EXPECT_EQ(node.handler.held[0].request.id.call.sequence, 2u);
 }
 
