--- a/tests/Http/HttpServerTest.cpp
+++ b/tests/Http/HttpServerTest.cpp
@@ -74,7 +74,7 @@
     int status;
 };
 
-void PrintTo(const RefusedCase& it, std::ostream* out) { *out << it.name; }
+std::ostream& operator<<(std::ostream& out, const RefusedCase& it) { return out << it.name; }
 
 class RefusedRequestTest : public HttpServerTest, public testing::WithParamInterface<RefusedCase> { };
 
--- a/tests/Http/LoopTest.h
+++ b/tests/Http/LoopTest.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Base/Base.h"
+#include "Http/EventPointers.h"
 
 #include <arpa/inet.h>
 #include <array>
@@ -25,10 +26,6 @@
 // Only a failing test waits this long, so a busy machine does not change a verdict.
 constexpr auto testPatience = std::chrono::seconds(30);
 
-struct EventBaseDeleter {
-    void operator()(event_base* it) const { event_base_free(it); }
-};
-
 class LoopTest : public testing::Test {
 protected:
     LoopTest() { std::signal(SIGPIPE, SIG_IGN); }
@@ -61,7 +58,7 @@
     }
 
 private:
-    std::unique_ptr<event_base, EventBaseDeleter> m_base { event_base_new() };
+    EventBasePointer m_base { makeEventBase() };
 };
 
 // A non-blocking socket. What has been read is kept in one string.
