--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -64,11 +64,15 @@
         std::array<char, 16 * 1024> buf;
         auto n = recv(fd, buf.data(), buf.size(), MSG_DONTWAIT);
         if (!n || (n < 0 && errno != EAGAIN && errno != EINTR))
-            static_cast<LingeringSocket*>(argument)->m_onEnd();
+            static_cast<LingeringSocket*>(argument)->end();
     }
-    static void handleTimer(evutil_socket_t, short, void* argument)
+    static void handleTimer(evutil_socket_t, short, void* argument) { static_cast<LingeringSocket*>(argument)->end(); }
+
+    // The function deletes this object.
+    void end()
     {
-        static_cast<LingeringSocket*>(argument)->m_onEnd();
+        auto onEnd = std::move(m_onEnd);
+        onEnd();
     }
 
     evutil_socket_t m_fd;
@@ -557,7 +561,10 @@
     if (fd < 0)
         return;
     auto it = lingering.emplace(lingering.end());
-    *it = std::make_unique<LingeringSocket>(base, fd, options.lingerTime, [this, it] { lingering.erase(it); });
+    *it = std::make_unique<LingeringSocket>(base, fd, options.lingerTime, [this, it] {
+        lingering.erase(it);
+        updateListener();
+    });
 }
 
 void HttpServer::State::updateListener()
@@ -565,7 +572,7 @@
     if (!bound)
         return;
     auto* listener = evhttp_bound_socket_get_listener(bound);
-    if (connections.size() < connectionLimit())
+    if (connections.size() + lingering.size() < connectionLimit())
         evconnlistener_enable(listener);
     else
         evconnlistener_disable(listener);
--- a/Source/Http/HttpServer.h
+++ b/Source/Http/HttpServer.h
@@ -42,7 +42,7 @@
     Duration lingerTime { std::chrono::seconds(2) };
     // Connections above this number are answered 503 and closed.
     uint32_t maxConnections { 1024 };
-    // Connections above this number as well wait in the listen queue.
+    // Connections above this number as well, those in their linger time included, wait in the listen queue.
     uint32_t maxRefusedConnections { 64 };
 };
 
@@ -87,6 +87,7 @@
 
 class HttpServer {
 public:
+    // Must not delete the server; nor must a function given to onCallerGone.
     using Handler = std::function<void(HttpRequest, const Endpoint& peer, Responder)>;
 
     HttpServer(event_base*, Handler, HttpServerOptions = {});
--- a/Source/Http/TargetClient.h
+++ b/Source/Http/TargetClient.h
@@ -105,6 +105,7 @@
 
 class TargetClient {
 public:
+    // May send and cancel, but must not delete the client.
     using Done = std::function<void(SendResult)>;
 
     TargetClient(event_base*, Endpoint, TargetClientOptions = {});
--- a/tests/Http/HttpServerTest.cpp
+++ b/tests/Http/HttpServerTest.cpp
@@ -605,7 +605,7 @@
 // Guards against callers who use up the file descriptors, and against callers above the bound who get no answer.
 TEST_F(HttpServerTest, BoundsItsConnections)
 {
-    start({ .maxConnections = 2, .maxRefusedConnections = 1 });
+    start({ .lingerTime = std::chrono::milliseconds(20), .maxConnections = 2, .maxRefusedConnections = 1 });
     std::deque<RawSocket> held;
     for (int i = 0; i < 2; ++i) {
         held.push_back(connect());
