Keep joined attempts while their original is live; add stop()

Cause: an attempt that had joined a running call was evicted after its own hold time. Its repeated request then got CallLost and the requester a second reply when the original ended. A node that ends before its calls had no way to give them their final reply.

Change: the eviction of a joined attempt waits for its original. stop() refuses what is queued and reports what runs as lost (node-stopped).

--- a/Source/Admission/AdmissionController.cpp
+++ b/Source/Admission/AdmissionController.cpp
@@ -52,6 +52,14 @@
     tick(now, actions);
 }
 
+void AdmissionController::stop(Instant now, AdmissionActions& actions)
+{
+    m_isNodeDraining = true;
+    refuseAllQueued(now, RefusalReason::Draining, actions);
+    for (auto& id : m_ledger.findAllRunning())
+        targetLost(now, id, LossReason::NodeStopped, actions);
+}
+
 void AdmissionController::linkOpened(LinkId link) { m_gate.openLink(link); }
 
 void AdmissionController::linkClosed(Instant now, LinkId link, AdmissionActions& actions)
--- a/Source/Admission/AdmissionController.h
+++ b/Source/Admission/AdmissionController.h
@@ -52,6 +52,9 @@
     uint64_t pauseDetected(Instant now, AdmissionActions&);
     void linkConfirmed(Instant now, LinkId, uint64_t pause, AdmissionActions&);
 
+    // The node's drain limit has passed, or its task restarts: everything held gets its final reply now.
+    void stop(Instant now, AdmissionActions&);
+
     void offer(Instant now, LinkId, CallRequest, AdmissionActions&);
     void cancel(Instant now, const CallCancel&, AdmissionActions&);
     void query(Instant now, LinkId, const CallQuery&, AdmissionActions&);
--- a/Source/Admission/CallLedger.cpp
+++ b/Source/Admission/CallLedger.cpp
@@ -48,6 +48,17 @@
     return const_cast<LedgerEntry*>(std::as_const(*this).findRunning(call));
 }
 
+std::vector<AttemptId> CallLedger::findAllRunning() const
+{
+    std::vector<AttemptId> running;
+    for (auto& [id, entry] : m_entries) {
+        if (entry.is<AttemptRunning>())
+            running.push_back(id);
+    }
+    std::ranges::sort(running);
+    return running;
+}
+
 // The attempt that a further attempt of the same call has to join, if one of them must not run twice.
 LedgerEntry* CallLedger::findOriginal(const CallId& call, std::optional<RequestKind> kind)
 {
@@ -280,11 +291,23 @@
     m_entries.erase(it);
 }
 
+// Somebody may still wait under the joined attempt's id; a repeated request must not get a second reply.
+bool CallLedger::isJoinedToLive(const LedgerEntry& entry)
+{
+    auto* joined = std::get_if<AttemptJoined>(&entry.state);
+    LedgerEntry* original = joined ? find(joined->original) : nullptr;
+    return original && original->isLive();
+}
+
 void CallLedger::evictExpired(Instant now)
 {
     while (!m_expiry.empty() && m_expiry.begin()->first < now) {
         AttemptId id = m_expiry.begin()->second;
         LedgerEntry& entry = m_entries.at(id);
+        if (isJoinedToLive(entry)) {
+            keepLonger(entry, now + m_options.hold);
+            continue;
+        }
         if (!entry.is<AttemptRefused>())
             m_evictedDeadline = std::max(m_evictedDeadline, entry.deadline);
         erase(id);
--- a/Source/Admission/CallLedger.h
+++ b/Source/Admission/CallLedger.h
@@ -114,6 +114,9 @@
     LedgerEntry* findRunning(const CallId&);
     const LedgerEntry* findRunning(const CallId&) const;
 
+    // Visits every entry; only for the end of the node.
+    std::vector<AttemptId> findAllRunning() const;
+
     bool hasRoom() const { return m_entries.size() < m_options.maximumEntries; }
     // Adds a queued attempt. There must be room.
     LedgerEntry& insert(const CallRequest&, RequestKind);
@@ -153,6 +156,7 @@
     LedgerLookup join(const AttemptId&, Instant deadline, LedgerEntry& original);
     void dropFromIndex(const AttemptId&);
     std::vector<Requester> settle(LedgerEntry&);
+    bool isJoinedToLive(const LedgerEntry&);
     void keepLonger(LedgerEntry&, Instant until);
     void holdAnswer(LedgerEntry&, HttpResponse);
     void dropOldestAnswers();
--- a/tests/Admission/AdmissionControllerTest.cpp
+++ b/tests/Admission/AdmissionControllerTest.cpp
@@ -270,6 +270,18 @@
     EXPECT_TRUE(bench.controller->isDrained());
 }
 
+// A caller must not be left without a reply when the node ends before its calls.
+TEST(AdmissionController, StopGivesEverythingHeldItsFinalReply)
+{
+    auto bench = makeSingleSlotBench();
+    bench.offer(attemptOf(1));
+    bench.offer(attemptOf(2));
+    bench.run([&] { bench.controller->stop(bench.now, bench.actions); });
+    EXPECT_EQ(refusalsIn(bench.actions), Reasons { RefusalReason::Draining });
+    EXPECT_EQ(repliesIn<CallLost>(bench.actions).size(), 1u);
+    EXPECT_TRUE(bench.controller->isDrained());
+}
+
 TEST(AdmissionController, TargetThatGoesDownRefusesWhatWaits)
 {
     auto bench = makeSingleSlotBench();
--- a/tests/Admission/CallLedgerTest.cpp
+++ b/tests/Admission/CallLedgerTest.cpp
@@ -65,6 +65,18 @@
     EXPECT_EQ(repliesIn<CallLost>(bench.offerUntil(attemptOf(3), Instant::min())).size(), 1u);
 }
 
+// With the joined attempt evicted first, its repeated request would get a reply of its own and a second one later.
+TEST(CallLedger, JoinedAttemptsOutliveTheirHoldTimeWithTheOriginal)
+{
+    AdmissionBench bench;
+    Instant deadline = bench.now + std::chrono::seconds(2);
+    bench.offerUntil(attemptOf(1, 0), deadline);
+    bench.offerUntil(attemptOf(1, 1), deadline);
+    bench.advance(std::chrono::minutes(5));
+    EXPECT_TRUE(bench.offerUntil(attemptOf(1, 1), deadline).empty());
+    EXPECT_EQ(repliesIn<CallAnswered>(bench.answer(attemptOf(1, 0))).size(), 2u);
+}
+
 TEST(CallLedger, RunningCallsOutliveTheirHoldTime)
 {
     AdmissionBench bench;
