Silence a false lint report on defaulted comparisons

Cause: clang-tidy 14 reports the hidden literal zero of a defaulted operator<=> in Identifiers.h as modernize-use-nullptr wherever a set or map compares identifiers.

Change: the check is off between the comparable types of that header only.

--- a/Source/Base/Identifiers.h
+++ b/Source/Base/Identifiers.h
@@ -10,6 +10,9 @@
 
 namespace Berylport {
 
+// clang-tidy 14 takes the literal zero inside a defaulted operator<=> for a null pointer.
+// NOLINTBEGIN(modernize-use-nullptr)
+
 // A name that is only comparable with names of the same tag.
 template <typename Tag> struct Name {
     std::string text;
@@ -62,6 +65,8 @@
     auto operator<=>(const Endpoint&) const = default;
 };
 
+// NOLINTEND(modernize-use-nullptr)
+
 std::string toText(NodeId);
 std::string toText(const CallId&);
 std::string toText(const Endpoint&);
