Compare node ids by value in partition assignment and tests

Change: PartitionAssignment compares the ids' values; PatientWorld and ActionTest use unordered containers. No test is changed otherwise.

--- a/Source/Patient/PartitionAssignment.cpp
+++ b/Source/Patient/PartitionAssignment.cpp
@@ -24,10 +24,10 @@
 {
     std::vector<PartitionTry> tries;
     for (uint32_t partition = 0; partition < actionPartitionCount; ++partition) {
-        auto own = std::pair(weightOf(self, partition), self);
+        auto own = std::pair(weightOf(self, partition), self.value);
         uint32_t rank = 0;
         for (auto node : liveNodes)
-            rank += node != self && std::pair(weightOf(node, partition), node) > own;
+            rank += node != self && std::pair(weightOf(node, partition), node.value) > own;
         if (rank < options.candidates)
             tries.push_back({ .partition = partition, .delay = options.delayPerRank * rank });
     }
--- a/tests/Patient/ActionTest.cpp
+++ b/tests/Patient/ActionTest.cpp
@@ -198,7 +198,7 @@
     for (int n = 0; n < 3900; ++n)
         nodes.push_back(NodeId { random.next() });
     std::map<uint32_t, std::set<Duration>> delays;
-    std::map<NodeId, int> firsts;
+    std::unordered_map<NodeId, int> firsts;
     size_t tries = 0;
     for (auto node : nodes) {
         for (auto& it : partitionsToTry(node, nodes)) {
--- a/tests/Patient/PatientWorld.h
+++ b/tests/Patient/PatientWorld.h
@@ -8,6 +8,8 @@
 #include <map>
 #include <set>
 #include <string>
+#include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace Berylport::Testing {
@@ -143,8 +145,8 @@
     Random& m_random;
     Executions& m_executions;
     std::shared_ptr<FakeProcess> m_process;
-    std::map<AttemptId, Entry> m_ledger;
-    std::map<AttemptId, std::string> m_tokens;
+    std::unordered_map<AttemptId, Entry> m_ledger;
+    std::unordered_map<AttemptId, std::string> m_tokens;
 };
 
 template <typename Runner> class PatientWorld {
@@ -318,7 +320,7 @@
     std::map<std::string, bool> isDeduplicated;
     std::map<size_t, uint64_t> acceptResults;
     // Nodes that were killed.
-    std::set<NodeId> lostNodes;
+    std::unordered_set<NodeId> lostNodes;
     // A dispatch without the lease.
     std::string violation;
     uint64_t dispatches { 0 };
