--- a/Source/Admission/CallLedger.h
+++ b/Source/Admission/CallLedger.h
@@ -22,7 +22,8 @@
     Duration hold { std::chrono::seconds(30) };
     Duration patientHold { std::chrono::minutes(10) };
     // The link translates the deadline of a request and of a later query apart; they may differ by its clock error.
-    Duration clockSlack { std::chrono::seconds(1) };
+    // A query's deadline may be translated up to this much later than that of the call it asks about.
+    Duration clockSlack { std::chrono::seconds(5) };
     // Deadlines further ahead are not believed: an attempt must not be remembered, or awaited, for days.
     Duration maximumLifetime { std::chrono::hours(1) };
 };
--- a/Source/Http/EventPointers.h
+++ b/Source/Http/EventPointers.h
@@ -9,7 +9,7 @@
 
 namespace Berylport {
 
-struct EventDeleter {
+struct TimerDeleter {
     void operator()(event* it) const { event_free(it); }
 };
 
@@ -26,7 +26,7 @@
 };
 
 using EventBasePointer = std::unique_ptr<event_base, EventBaseDeleter>;
-using EventPointer = std::unique_ptr<event, EventDeleter>;
+using TimerPointer = std::unique_ptr<event, TimerDeleter>;
 using BufferPointer = std::unique_ptr<evbuffer, BufferDeleter>;
 
 // A loop whose timers are never early. By default libevent reads a clock with a resolution of several milliseconds.
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -77,8 +77,8 @@
 
     evutil_socket_t m_fd;
     std::function<void()> m_onEnd;
-    EventPointer m_event;
-    EventPointer m_timer;
+    TimerPointer m_event;
+    TimerPointer m_timer;
 };
 
 HttpResponse makeRefusal(uint16_t status, std::string_view reason)
@@ -204,8 +204,8 @@
     BufferPointer m_raw { evbuffer_new() };
     RequestParser m_parser;
     Phase m_phase { Phase::Idle };
-    EventPointer m_timer;
-    EventPointer m_callerEvent;
+    TimerPointer m_timer;
+    TimerPointer m_callerEvent;
     // Set while the phase is Placed.
     std::optional<HttpRequest> m_request;
     std::optional<HttpResponse> m_refusal;
--- a/Source/Http/TargetClient.cpp
+++ b/Source/Http/TargetClient.cpp
@@ -135,7 +135,7 @@
     TargetConnection* connection { nullptr };
     // Known and to be delivered.
     std::optional<SendResult> result;
-    EventPointer timer;
+    TimerPointer timer;
     std::list<std::shared_ptr<TargetCall>>::iterator place;
     Instant connectDeadline;
 };
@@ -148,8 +148,8 @@
     std::list<std::shared_ptr<TargetCall>> calls;
     std::deque<std::weak_ptr<TargetCall>> finished;
     // Runs the deliveries and deletions that must not happen inside evhttp's functions.
-    EventPointer wake;
-    EventPointer idleTimer;
+    TimerPointer wake;
+    TimerPointer idleTimer;
 
     TargetConnection* chooseConnection(bool isIdempotent);
     void startCall(const std::shared_ptr<TargetCall>&);
--- a/Source/Settings/NodeSettings.h
+++ b/Source/Settings/NodeSettings.h
@@ -25,6 +25,9 @@
     // Other nodes reach these two, so they hold the VM's own IP number.
     Endpoint peer { .address = "127.0.0.1", .port = 7083 };
     Endpoint gossip { .address = "127.0.0.1", .port = 7084 };
+    // What other nodes are told instead, where an address translator stands between.
+    std::optional<Endpoint> peerAdvertised;
+    std::optional<Endpoint> gossipAdvertised;
 };
 
 struct PlatformSection {
--- a/Source/Settings/SettingsSchema.cpp
+++ b/Source/Settings/SettingsSchema.cpp
@@ -125,7 +125,7 @@
         .defaultText = toText(field.defaultValue()) };
 }
 
-template <typename Section> SettingInfo optionalEndpoint(Place place, Field<Section, std::optional<Endpoint>> field)
+template <typename Section> SettingInfo optionalEndpoint(Place place, Field<Section, std::optional<Endpoint>> field, bool isRequired)
 {
     auto parse = [=](NodeSettings& settings, std::string_view text) -> std::optional<std::string> {
         auto value = parseEndpoint(text);
@@ -139,7 +139,7 @@
         .unit = "address:port",
         .range = "IP number and port",
         .meaning = place.meaning,
-        .isRequired = true,
+        .isRequired = isRequired,
         .parse = parse,
         .defaultText = {} };
 }
@@ -248,6 +248,10 @@
         endpoint({ "listen", "operators", "operators' remote procedure calls" }, Field { &S::listen, &L::operators }));
     list.push_back(endpoint({ "listen", "peer", "links from other nodes" }, Field { &S::listen, &L::peer }));
     list.push_back(endpoint({ "listen", "gossip", "membership datagrams" }, Field { &S::listen, &L::gossip }));
+    list.push_back(optionalEndpoint({ "listen", "peer_advertised", "peer address told to other nodes instead" },
+        Field { &S::listen, &L::peerAdvertised }, false));
+    list.push_back(optionalEndpoint({ "listen", "gossip_advertised", "gossip address told to other nodes instead" },
+        Field { &S::listen, &L::gossipAdvertised }, false));
 }
 
 void appendPlatform(std::vector<SettingInfo>& list)
@@ -255,8 +259,8 @@
     using S = NodeSettings;
     using P = PlatformSection;
     using M = MembershipSection;
-    list.push_back(optionalEndpoint({ "platform", "table", "table service" }, Field { &S::platform, &P::table }));
-    list.push_back(optionalEndpoint({ "platform", "objects", "object store" }, Field { &S::platform, &P::objects }));
+    list.push_back(optionalEndpoint({ "platform", "table", "table service" }, Field { &S::platform, &P::table }, true));
+    list.push_back(optionalEndpoint({ "platform", "objects", "object store" }, Field { &S::platform, &P::objects }, true));
     list.push_back(milliseconds({ "platform", "timeout_ms", "wait for one answer of the platform" },
         Field { &S::platform, &P::timeout }, 10, minute));
     list.push_back(number({ "platform", "writes_per_second", "store writes that this node may make" }, "count",
--- a/StandIns/Target/Main.cpp
+++ b/StandIns/Target/Main.cpp
@@ -18,7 +18,7 @@
     StandInTarget* target;
     Duration limit;
     bool isDrained { false };
-    EventPointer timer;
+    TimerPointer timer;
 };
 
 std::chrono::milliseconds milliseconds(const cxxopts::ParseResult& given, const char* name)
@@ -88,8 +88,8 @@
     shutdown.timer.reset(evtimer_new(
         base.get(), [](evutil_socket_t, short, void* it) { event_base_loopbreak(static_cast<event_base*>(it)); },
         base.get()));
-    EventPointer terminate(evsignal_new(base.get(), SIGTERM, handleSignal, &shutdown));
-    EventPointer interrupt(evsignal_new(base.get(), SIGINT, handleSignal, &shutdown));
+    TimerPointer terminate(evsignal_new(base.get(), SIGTERM, handleSignal, &shutdown));
+    TimerPointer interrupt(evsignal_new(base.get(), SIGINT, handleSignal, &shutdown));
     event_add(terminate.get(), nullptr);
     event_add(interrupt.get(), nullptr);
     event_base_dispatch(base.get());
--- a/StandIns/Target/StandInTarget.cpp
+++ b/StandIns/Target/StandInTarget.cpp
@@ -201,7 +201,7 @@
     std::string key;
     std::string parent;
     Answer answer;
-    EventPointer timer;
+    TimerPointer timer;
     std::unique_ptr<TargetClient> nestedClient;
 };
 
@@ -219,9 +219,9 @@
     TargetBehaviour behaviour;
     std::unique_ptr<evhttp, EvhttpDeleter> http;
     Endpoint endpoint;
-    EventPointer announceTimer;
-    EventPointer startTimer;
-    EventPointer drainTimer;
+    TimerPointer announceTimer;
+    TimerPointer startTimer;
+    TimerPointer drainTimer;
     std::unique_ptr<TargetClient> node;
     bool isStarting { false };
     bool isDraining { false };
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -2,6 +2,8 @@
 # Installs what is needed, builds, and runs every test; with --lint also the formatter, linter and sanitizer builds.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+# Paths relative to the tree, so that the compiler cache serves every checkout.
+export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=1
 lint=no
 [ "${1:-}" = "--lint" ] && lint=yes
 log=$(mktemp)
