--- a/Source/Routing/TargetSelector.cpp
+++ b/Source/Routing/TargetSelector.cpp
@@ -182,24 +182,29 @@
     auto own = pick(m_groups[0], now, random, excluded);
     auto ownTime = own ? expectedTime(*own, now) : std::nullopt;
     if (own && !ownTime)
-        return makeSelection(*own);
+        return makeSelection(own->index);
     auto other = pick(m_groups[1], now, random, excluded);
     if (own && other)
-        return makeSelection(*expectedTime(*other, now) < *ownTime ? *other : *own);
+        return makeSelection(*expectedTime(*other, now) < *ownTime ? other->index : own->index);
     if (own || other)
-        return makeSelection(own ? *own : *other);
+        return makeSelection(own ? own->index : other->index);
     if (auto remote = pick(m_groups[2], now, random, excluded))
-        return makeSelection(*remote);
+        return makeSelection(remote->index);
     return std::nullopt;
 }
 
-std::optional<double> TargetSelector::expectedTime(uint32_t index, Instant now) const
+std::optional<double> TargetSelector::expectedTime(const Candidate& candidate, Instant now) const
+{
+    if (std::holds_alternative<RandomChoice>(m_options.policy) || std::holds_alternative<RoundRobin>(m_options.policy))
+        return std::nullopt;
+    return candidate.penalty * expectedTimeWithoutPenalty(candidate.index, now);
+}
+
+double TargetSelector::expectedTimeWithoutPenalty(uint32_t index, Instant now) const
 {
     const auto& view = m_views[index];
     if (const auto* fresh = std::get_if<FreshLoad>(&m_options.policy))
         return view.expectedMicroseconds(m_options, *fresh, m_meanLoad, now);
-    if (std::holds_alternative<RandomChoice>(m_options.policy) || std::holds_alternative<RoundRobin>(m_options.policy))
-        return std::nullopt;
     // Stale policies believe the report as it stands.
     auto serviceTime = std::max(view.load.serviceTime, Duration(1));
     double slots = std::max<double>(view.record.slots, 1);
@@ -207,12 +212,12 @@
     return static_cast<double>(serviceTime.count()) * (1 + waiting) + static_cast<double>(view.extraRoundTrip.count());
 }
 
-std::optional<uint32_t> TargetSelector::pick(
+std::optional<TargetSelector::Candidate> TargetSelector::pick(
     const Indices& group, Instant now, Random& random, std::span<const TargetId> excluded)
 {
     if (group.empty())
         return std::nullopt;
-    auto reported = [&](uint32_t n) { return m_views[n].reportedLoad(); };
+    auto reported = [&](uint32_t n) { return m_views[n].reportedLoad() + 1; };
     return std::visit(Overloaded {
                           [&](const FreshLoad& policy) {
                               return pickBest(group, policy.candidates, now, random, excluded, [&](uint32_t n) {
@@ -229,16 +234,16 @@
         m_options.policy);
 }
 
-std::optional<uint32_t> TargetSelector::pickInTurn(
+std::optional<TargetSelector::Candidate> TargetSelector::pickInTurn(
     const Indices& group, Instant now, Random& random, std::span<const TargetId> excluded)
 {
-    std::optional<uint32_t> last;
+    std::optional<Candidate> last;
     // Twice round at most, so that a group of targets in slow start still gives one.
     for (size_t n = 0; n < 2 * group.size() && n < 2 * maximumDraws + excluded.size(); ++n) {
         uint32_t index = group[m_turn++ % group.size()];
         if (isExcluded(index, excluded))
             continue;
-        last = index;
+        last = Candidate { index };
         if (random.chance(m_views[index].weight(m_options, now)))
             return last;
     }
@@ -246,23 +251,19 @@
 }
 
 template <typename Score>
-std::optional<uint32_t> TargetSelector::pickBest(const Indices& group, uint32_t candidates, Instant now, Random& random,
-    std::span<const TargetId> excluded, Score&& score)
+std::optional<TargetSelector::Candidate> TargetSelector::pickBest(const Indices& group, uint32_t candidates,
+    Instant now, Random& random, std::span<const TargetId> excluded, Score&& score)
 {
-    std::optional<uint32_t> best;
-    // Used only when every candidate is in slow start and none has its turn.
-    std::optional<uint32_t> passedOver;
+    std::optional<Candidate> best;
     double bestScore = std::numeric_limits<double>::infinity();
     auto consider = [&](uint32_t index) {
         double weight = m_views[index].weight(m_options, now);
-        if (weight < 1 && !random.chance(weight)) {
-            passedOver = index;
-            return;
-        }
-        double value = score(index);
+        bool hasTurn = weight >= 1 || random.chance(weight);
+        double penalty = hasTurn ? 1 : m_options.slowStartPenalty;
+        double value = penalty * score(index);
         if (best && value >= bestScore)
             return;
-        best = index;
+        best = Candidate { index, penalty };
         bestScore = value;
     };
     if (group.size() <= candidates) {
@@ -273,13 +274,13 @@
             if (!isExcluded(index, excluded))
                 consider(index);
         }
-        return best ? best : passedOver;
+        return best;
     }
     for (uint32_t n = 0; n < candidates; ++n) {
         if (auto index = drawOne(group, random, excluded))
             consider(*index);
     }
-    return best ? best : passedOver;
+    return best;
 }
 
 std::optional<uint32_t> TargetSelector::drawOne(
@@ -297,13 +298,16 @@
     return std::nullopt;
 }
 
-std::optional<uint32_t> TargetSelector::drawByWeight(
+std::optional<TargetSelector::Candidate> TargetSelector::drawByWeight(
     const Indices& group, Instant now, Random& random, std::span<const TargetId> excluded) const
 {
-    std::optional<uint32_t> last;
+    std::optional<Candidate> last;
     for (int n = 0; n < maximumDraws; ++n) {
-        last = drawOne(group, random, excluded);
-        if (!last || random.chance(m_views[*last].weight(m_options, now)))
+        auto index = drawOne(group, random, excluded);
+        if (!index)
+            return std::nullopt;
+        last = Candidate { *index };
+        if (random.chance(m_views[*index].weight(m_options, now)))
             return last;
     }
     return last;
@@ -322,9 +326,11 @@
 
 // Results of attempts.
 
-void TargetSelector::noteSent(const TargetId& target, Instant)
+void TargetSelector::noteSent(const TargetId& target, Instant now)
 {
     if (auto* view = find(target)) {
+        if (!view->outstanding)
+            view->silentSince = now;
         ++view->outstanding;
         ++view->sentSinceReport;
     }
@@ -339,6 +345,7 @@
 void TargetSelector::noteLoad(TargetView& view, const LoadReport& load, Instant now)
 {
     view.takeReport(load, now);
+    view.silentSince = now;
     m_meanLoad += meanLoadSmoothing * (view.reportedLoad() - m_meanLoad);
 }
 
@@ -478,7 +485,8 @@
 void TargetSelector::readmit(TargetView& view, Instant now)
 {
     view.ejectedUntil.reset();
-    view.rampStart = now;
+    // It is warm already; only the end of its slow start remains.
+    view.rampStart = now - m_options.slowStart + m_options.ejection.readmissionRamp;
     // It is judged by new answers only.
     view.answers = 0;
     view.latency = {};
--- a/Source/Routing/TargetSelector.h
+++ b/Source/Routing/TargetSelector.h
@@ -53,6 +53,11 @@
 
 private:
     using Indices = std::vector<uint32_t>;
+    struct Candidate {
+        uint32_t index { 0 };
+        // Factor on its expected time; above 1 for a target in slow start that has not had its turn.
+        double penalty { 1 };
+    };
     struct Readmission {
         Instant time;
         TargetId target;
@@ -81,17 +86,18 @@
     void endUnavailability(TargetView&);
     void readmitAbovePanicThreshold(Instant now);
 
-    std::optional<uint32_t> pick(const Indices&, Instant now, Random&, std::span<const TargetId> excluded);
-    std::optional<uint32_t> pickInTurn(const Indices&, Instant now, Random&, std::span<const TargetId> excluded);
+    std::optional<Candidate> pick(const Indices&, Instant now, Random&, std::span<const TargetId> excluded);
+    std::optional<Candidate> pickInTurn(const Indices&, Instant now, Random&, std::span<const TargetId> excluded);
     template <typename Score>
-    std::optional<uint32_t> pickBest(
+    std::optional<Candidate> pickBest(
         const Indices&, uint32_t candidates, Instant now, Random&, std::span<const TargetId> excluded, Score&&);
     std::optional<uint32_t> drawOne(const Indices&, Random&, std::span<const TargetId> excluded) const;
-    std::optional<uint32_t> drawByWeight(
+    std::optional<Candidate> drawByWeight(
         const Indices&, Instant now, Random&, std::span<const TargetId> excluded) const;
     bool isExcluded(uint32_t index, std::span<const TargetId> excluded) const;
     // Expected time of a call there, as the policy sees it; empty for a policy that ignores load.
-    std::optional<double> expectedTime(uint32_t index, Instant now) const;
+    std::optional<double> expectedTime(const Candidate&, Instant now) const;
+    double expectedTimeWithoutPenalty(uint32_t index, Instant now) const;
     Selection makeSelection(uint32_t index) const;
 
     RoutingOptions m_options;
--- a/Source/Routing/TargetView.cpp
+++ b/Source/Routing/TargetView.cpp
@@ -36,9 +36,12 @@
     // A target may report a service time that its callers do not see.
     if (answers)
         serviceTime = (serviceTime + static_cast<double>(latency.count())) / 2;
+    // A target that has stopped answering is slow before any slow answer arrives.
+    if (outstanding)
+        serviceTime = std::max(serviceTime, static_cast<double>((now - silentSince - extraRoundTrip).count()));
     double slots = std::max<double>(record.slots, 1);
     double occupied = estimatedLoad(policy, meanLoad, now);
-    double waiting = std::max(0.0, occupied + 1 - slots) / slots;
+    double waiting = policy.queueWeight * std::max(0.0, occupied + 1 - slots) / slots;
     double factor = 1 + waiting + policy.occupancyWeight * std::min(1.0, occupied / slots);
     return serviceTime * factor + static_cast<double>(extraRoundTrip.count());
 }
--- a/Source/Routing/TargetView.h
+++ b/Source/Routing/TargetView.h
@@ -25,7 +25,9 @@
     std::optional<Instant> reportedAt;
     // Calls of this sender that are on the way or running there.
     uint32_t outstanding { 0 };
-    // Of those, the ones that the newest report cannot contain.
+    // Newest reply, or the first sending after all replies; meaningful while calls are outstanding.
+    Instant silentSince;
+    // Of the outstanding calls, the ones that the newest report cannot contain.
     uint32_t sentSinceReport { 0 };
     // Smoothed answer time without the extra round trip; failures count as slow answers.
     Duration latency {};
--- a/benchmarks/PolicyBenchmark.cpp
+++ b/benchmarks/PolicyBenchmark.cpp
@@ -65,11 +65,11 @@
     row.bytesShare += static_cast<double>(run.measuringBytes) / static_cast<double>(run.callBytes) / seeds;
 }
 
-std::vector<Row> measure(const FleetShape& fleet, const WorkloadOptions& options, uint64_t seeds)
+std::vector<Row> measure(const FleetShape& fleet, const WorkloadOptions& options, uint64_t firstSeed, uint64_t seeds)
 {
     auto all = contestants();
     std::vector<Row> rows(all.size());
-    for (uint64_t seed = 1; seed <= seeds; ++seed) {
+    for (uint64_t seed = firstSeed; seed < firstSeed + seeds; ++seed) {
         auto workload = makeWorkload(fleet, options, seed);
         for (size_t n = 0; n < all.size(); ++n) {
             rows[n].name = all[n].name;
@@ -115,6 +115,7 @@
 {
     cxxopts::Options options("policy-benchmark", "Compares the selection policies with an oracle");
     options.add_options()("seeds", "number of seeds", cxxopts::value<uint64_t>()->default_value("10"))(
+        "first-seed", "first seed", cxxopts::value<uint64_t>()->default_value("1"))(
         "utilisation", "mean share of occupied slots", cxxopts::value<double>()->default_value("0.6"))(
         "json", "one JSON object a line instead of tables")("help", "print this text");
     auto parsed = options.parse(argc, argv);
@@ -130,7 +131,7 @@
     WorkloadOptions workload;
     workload.utilisation = parsed["utilisation"].as<double>();
     for (const auto& fleet : customerFleets()) {
-        auto rows = measure(fleet, workload, seeds);
+        auto rows = measure(fleet, workload, parsed["first-seed"].as<uint64_t>(), seeds);
         if (parsed.count("json"))
             printJson(fleet, rows);
         else
--- a/tests/Routing/TargetSelectorTest.cpp
+++ b/tests/Routing/TargetSelectorTest.cpp
@@ -174,6 +174,20 @@
     EXPECT_LT(counts[3], 400);
 }
 
+// Guards against calls that pile up at a target that has stopped answering, before the first slow answer is seen.
+TEST(TargetSelector, FreshLoadAvoidsASilentTarget)
+{
+    TargetSelector selector(makeOptions());
+    auto targets = makeTargets(2);
+    selector.updateTargets(targets, at(0s));
+    for (int n = 0; n < 20; ++n) {
+        answer(selector, 1, 10ms, at(1s));
+        answer(selector, 2, 10ms, at(1s));
+    }
+    selector.noteSent(targets[0].id, at(2s));
+    EXPECT_EQ(countSelections(selector, at(2s + 100ms)).count(1), 0u);
+}
+
 // Guards against a target that gets refused calls while gossip is late, and against one that never gets calls again.
 TEST(TargetSelector, AsksUnavailableTargetsAgainLater)
 {
@@ -267,7 +281,9 @@
 // Guards against a target that stays out for ever, and against one that flaps at a constant period.
 TEST(TargetSelector, ReadmitsAfterExponentialTimes)
 {
-    TargetSelector selector(makeOptions());
+    auto options = makeOptions();
+    options.ejection.baseTime = 2s;
+    TargetSelector selector(options);
     selector.updateTargets(makeTargets(3), at(0s));
     auto first = measureEjection(selector, at(1s));
     auto second = measureEjection(selector, at(5s));
