Shorten the Calls tests under the sanitizers

The call model erased messages from the front of a vector and searched all attempts for running ones; the fake receiver searched its running calls on every event. Change: a deque of messages, a set of running attempts in the model, and running calls ordered by their end in the fake receiver.

--- a/benchmarks/PolicySimulation.cpp
+++ b/benchmarks/PolicySimulation.cpp
@@ -43,7 +43,7 @@
     : m_fleet(fleet)
     , m_options(options)
     , m_workload(workload)
-    , m_contestant(std::move(contestant))
+    , m_contestant(contestant)
     , m_random(seed)
     , m_zones { ZoneName { "zone-a" }, ZoneName { "zone-b" }, ZoneName { "zone-c" } }
 {
--- a/tests/Calls/CallModel.h
+++ b/tests/Calls/CallModel.h
@@ -6,6 +6,7 @@
 #include "CallTestSupport.h"
 
 #include <algorithm>
+#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -304,12 +305,18 @@
         auto& node = m_nodes[step.pick % m_nodes.size()];
         auto gone = node;
         if (step.amount % 8)
-            m_receivers.erase(gone);
+            eraseReceiver(gone);
         node = NodeId { m_nextNode++ };
         updateTargets();
         act([&](auto& actions) { m_coordinator.targetGone(gone, m_now, actions); });
     }
 
+    void eraseReceiver(NodeId node)
+    {
+        m_receivers.erase(node);
+        std::erase_if(m_running, [&](const auto& running) { return running.first == node; });
+    }
+
     void failSend(const ModelStep& step)
     {
         std::vector<size_t> candidates;
@@ -354,6 +361,7 @@
         auto used = static_cast<uint32_t>(m_now.time_since_epoch().count() % (request.retryTokens + 1));
         call.tokensSpentBelow += used;
         remembered[request.id] = Running { request, used };
+        m_running.emplace(node, request.id);
         checkStart(call);
     }
 
@@ -400,13 +408,10 @@
     void endOneRunning(const ModelStep& step)
     {
         std::vector<Remembered*> running;
-        for (auto& [node, remembered] : m_receivers) {
-            for (auto& [id, entry] : remembered) {
-                // Mostly one whose caller still waits, so that retries after its answer happen.
-                bool isWanted = step.amount % 4 == 0 || m_calls.at(id.call).answers.empty();
-                if (std::holds_alternative<Running>(entry) && isWanted)
-                    running.push_back(&entry);
-            }
+        for (const auto& [node, id] : m_running) {
+            // Mostly one whose caller still waits, so that retries after its answer happen.
+            if (step.amount % 4 == 0 || m_calls.at(id.call).answers.empty())
+                running.push_back(&m_receivers.at(node).at(id));
         }
         if (running.empty())
             return;
@@ -422,6 +427,8 @@
 
     void end(Remembered& entry, const CallReply& reply)
     {
+        const auto& request = std::get<Running>(entry).request;
+        m_running.erase({ request.receiver, request.id });
         entry = reply;
         m_messages.push_back(ToSender { reply });
     }
@@ -514,7 +521,9 @@
     uint64_t m_nextNode { 1 };
     uint64_t m_nextCall { 1 };
     std::map<NodeId, std::map<AttemptId, Remembered>> m_receivers;
-    std::vector<Message> m_messages;
+    std::set<std::pair<NodeId, AttemptId>> m_running;
+    // Erased mostly near its ends.
+    std::deque<Message> m_messages;
     std::map<CallId, Call> m_calls;
     std::set<AttemptId> m_sentAttempts;
     // Requests that reached a receiver at least once.
--- a/tests/Scenarios/Engine/FakeReceiver.cpp
+++ b/tests/Scenarios/Engine/FakeReceiver.cpp
@@ -54,7 +54,7 @@
         std::erase(m_queue, cancelled.id);
         refuse(cancelled.id, RefusalReason::Cancelled, events);
     } else if (entry.state == State::Running) {
-        std::erase(m_running, cancelled.id);
+        std::erase_if(m_running, [&](const auto& running) { return running.second == cancelled.id; });
         CallLost lost;
         lost.id = cancelled.id;
         lost.reason = LossReason::TargetClosed;
@@ -77,12 +77,9 @@
 
 void FakeReceiver::tick(Instant now, ReceiverEvents& events)
 {
-    auto running = m_running;
-    for (const auto& id : running) {
-        auto& entry = m_entries.at(id);
-        if (entry.endsAt > now)
-            continue;
-        std::erase(m_running, id);
+    while (!m_running.empty() && m_running.begin()->first <= now) {
+        auto& entry = m_entries.at(m_running.begin()->second);
+        m_running.erase(m_running.begin());
         endRunning(entry, makeReply(entry), events);
     }
     startQueued(now, events);
@@ -90,13 +87,9 @@
 
 std::optional<Instant> FakeReceiver::nextWake() const
 {
-    std::optional<Instant> next;
-    for (const auto& id : m_running) {
-        auto endsAt = m_entries.at(id).endsAt;
-        if (!next || endsAt < *next)
-            next = endsAt;
-    }
-    return next;
+    if (m_running.empty())
+        return std::nullopt;
+    return m_running.begin()->first;
 }
 
 void FakeReceiver::refuse(const AttemptId& id, RefusalReason reason, ReceiverEvents& events)
@@ -123,8 +116,7 @@
             continue;
         }
         entry.state = State::Running;
-        entry.endsAt = now + m_behaviour.serviceTime;
-        m_running.push_back(id);
+        m_running.emplace(now + m_behaviour.serviceTime, id);
         events.emplace_back(AttemptStarted { id });
     }
 }
--- a/tests/Scenarios/Engine/FakeReceiver.h
+++ b/tests/Scenarios/Engine/FakeReceiver.h
@@ -4,6 +4,7 @@
 #include "Scenarios/Engine/Receiver.h"
 
 #include <deque>
+#include <map>
 #include <unordered_map>
 
 namespace Berylport::Scenario {
@@ -34,7 +35,6 @@
     struct Entry {
         CallRequest request;
         State state { State::Queued };
-        Instant endsAt;
         // Meaningful once Finished or Refused.
         CallReply reply;
     };
@@ -49,7 +49,8 @@
     TargetBehaviour m_behaviour;
     std::unordered_map<AttemptId, Entry> m_entries;
     std::deque<AttemptId> m_queue;
-    std::vector<AttemptId> m_running;
+    // By the time of their end, then by their start.
+    std::multimap<Instant, AttemptId> m_running;
 };
 
 } // namespace Berylport::Scenario
