--- a/Source/Calls/CallCoordinator.cpp
+++ b/Source/Calls/CallCoordinator.cpp
@@ -86,11 +86,11 @@
 {
     tick(now, actions);
     auto [call, attempt] = findReplied(id);
-    if (!attempt || attempt->state != AttemptState::Waiting)
+    if (!attempt || attempt->state != AttemptPhase::Waiting)
         return;
     route(*call).selector.noteNotSent(attempt->selection.target, now);
     attempt->isCounted = false;
-    attempt->state = AttemptState::NotRun;
+    attempt->state = AttemptPhase::NotRun;
     call->returnTokens(*attempt, 0);
     call->noteRefusal(RefusalReason::ConnectFailed, {});
     moveOnAfterNotRun(*call, now, actions);
@@ -101,7 +101,7 @@
     tick(now, actions);
     for (const auto& id : liveAttemptsAt(node)) {
         auto [call, attempt] = findReplied(id);
-        if (attempt && attempt->state == AttemptState::Waiting)
+        if (attempt && attempt->state == AttemptPhase::Waiting)
             lose(*call, *attempt, LossReason::LinkLost, now, actions);
     }
 }
@@ -183,7 +183,7 @@
     auto* call = find(answered.id.call);
     auto* attempt = call ? call->find(answered.id) : nullptr;
     // An attempt given up as lost may still bring the whole answer, while the call is pending.
-    if (!attempt || (!attempt->isLive() && attempt->state != AttemptState::Lost)) {
+    if (!attempt || (!attempt->isLive() && attempt->state != AttemptPhase::Lost)) {
         ++m_counters.droppedReplies;
         return;
     }
@@ -210,7 +210,7 @@
     if (attempt.isLive())
         call.returnTokens(attempt, answered.retryTokensUsed);
     attempt.isCounted = false;
-    attempt.state = AttemptState::Answered;
+    attempt.state = AttemptPhase::Answered;
 }
 
 void CallCoordinator::handle(const CallRefused& refused, Instant now, CallActions& actions)
@@ -226,7 +226,7 @@
     if (refusesAllCalls(refused.reason))
         selector.noteUnavailable(attempt->selection.target, now);
     attempt->isCounted = false;
-    attempt->state = AttemptState::NotRun;
+    attempt->state = AttemptPhase::NotRun;
     call->returnTokens(*attempt, 0);
     call->noteRefusal(refused.reason, refused.retryAfter);
     moveOnAfterNotRun(*call, now, actions);
@@ -240,7 +240,7 @@
         return;
     }
     // Its link is known to be lost; the query goes on.
-    if (attempt->state == AttemptState::Querying && lost.reason == LossReason::LinkLost)
+    if (attempt->state == AttemptPhase::Querying && lost.reason == LossReason::LinkLost)
         return;
     lose(*call, *attempt, lost.reason, now, actions);
 }
@@ -274,7 +274,7 @@
     if (attempt.isCounted)
         route(call).selector.noteLost(attempt.selection.target, now);
     attempt.isCounted = false;
-    attempt.state = AttemptState::Lost;
+    attempt.state = AttemptPhase::Lost;
     // A new attempt may move the attempts in memory.
     auto id = attempt.id;
     if (call.hasLiveAttempt() || tryRetry(call, now, actions))
@@ -382,7 +382,7 @@
 
 void CallCoordinator::startQuerying(PendingCall& call, Attempt& attempt, Instant now, CallActions& actions)
 {
-    attempt.state = AttemptState::Querying;
+    attempt.state = AttemptPhase::Querying;
     attempt.queryInterval = m_options.firstQueryInterval;
     sendQuery(call, attempt, now, actions);
     schedule(call);
@@ -401,7 +401,7 @@
 void CallCoordinator::queryDue(PendingCall& call, Instant now, CallActions& actions)
 {
     for (auto& attempt : call.attempts()) {
-        if (attempt.state == AttemptState::Querying && attempt.nextQuery <= now)
+        if (attempt.state == AttemptPhase::Querying && attempt.nextQuery <= now)
             sendQuery(call, attempt, now, actions);
     }
 }
--- a/Source/Calls/PendingCall.cpp
+++ b/Source/Calls/PendingCall.cpp
@@ -51,7 +51,7 @@
 bool PendingCall::mayHaveRun() const
 {
     return std::any_of(m_attempts.begin(), m_attempts.end(),
-        [](const auto& attempt) { return attempt.isLive() || attempt.state == AttemptState::Lost; });
+        [](const auto& attempt) { return attempt.isLive() || attempt.state == AttemptPhase::Lost; });
 }
 
 void PendingCall::returnTokens(const Attempt& attempt, uint32_t used)
@@ -75,7 +75,7 @@
     if (hedgeAt)
         wake = std::min(wake, *hedgeAt);
     for (const auto& attempt : m_attempts) {
-        if (attempt.state == AttemptState::Querying)
+        if (attempt.state == AttemptPhase::Querying)
             wake = std::min(wake, attempt.nextQuery);
     }
     return wake;
--- a/Source/Calls/PendingCall.h
+++ b/Source/Calls/PendingCall.h
@@ -8,7 +8,7 @@
 
 namespace Berylport {
 
-enum class AttemptState : uint8_t {
+enum class AttemptPhase : uint8_t {
     // Sent; no reply yet.
     Waiting,
     // Its link was lost; the target's node is being asked what became of it.
@@ -25,13 +25,13 @@
     Selection selection;
     Instant sentAt;
     uint32_t tokensGiven { 0 };
-    AttemptState state { AttemptState::Waiting };
+    AttemptPhase state { AttemptPhase::Waiting };
     // The selector counts it as outstanding.
     bool isCounted { true };
     Instant nextQuery;
     Duration queryInterval {};
 
-    bool isLive() const { return state == AttemptState::Waiting || state == AttemptState::Querying; }
+    bool isLive() const { return state == AttemptPhase::Waiting || state == AttemptPhase::Querying; }
 };
 
 // Pending calls by the time of their next timer.
--- /dev/null
+++ b/Source/Node/Node.h
@@ -0,0 +1,4 @@
+// Public header of Node.
+#pragma once
+
+#include "Node/NodeDaemon.h"
