Add berylportctl, the operators' command-line client

Cause: operators have no program to call a node's operator service with. Change: the command line is parsed into a variant of typed commands, run through OperatorClient, and printed as aligned text or JSON.

--- a/Source/Operator/Operator.h
+++ b/Source/Operator/Operator.h
@@ -4,3 +4,6 @@
 #include "Operator/OperatorClient.h"
 #include "Operator/OperatorServer.h"
 #include "Operator/OperatorTypes.h"
+#include "Operator/ToolCommand.h"
+#include "Operator/ToolOutput.h"
+#include "Operator/ToolRunner.h"
