Serve operators on each node

Cause: services could not be created on a running fleet. Change: OperatorTask answers from the node's status and passes changes, drains and zones to the tasks that own them.

--- a/Source/Node/NodeDaemon.cpp
+++ b/Source/Node/NodeDaemon.cpp
@@ -6,6 +6,7 @@
 #include "Node/EntryTask.h"
 #include "Node/LinkTask.h"
 #include "Node/MembershipTask.h"
+#include "Node/OperatorTask.h"
 #include "Node/TargetTask.h"
 #include "Trace/Trace.h"
 
@@ -84,6 +85,7 @@
         children.push_back({ .name = "entry", .create = [this] { return std::make_unique<EntryTask>(m_context, m_patient); } });
         children.push_back(makeChild<MembershipTask>("membership"));
         children.push_back(makeChild<ConfigurationTask>("configuration"));
+        children.push_back({ .name = "operator", .create = [this] { return std::make_unique<OperatorTask>(m_context, m_actions); } });
         return children;
     }
 
@@ -142,6 +144,7 @@
     EventLoop m_loop;
     NodeContext m_context;
     PatientGate* m_patient { nullptr };
+    ActionLookup* m_actions { nullptr };
     Supervisor m_root;
     SignalWatcher m_signals;
     Timer m_drainTimer;
