Run patient actions on the nodes; mend what a reading of the code showed

Cause: nodes refused patient requests; a reading found that a draining node refused the nested calls of its own running work, that a target could not withdraw with DELETE, that the reason of an old refusal was given for later losses, and that a lowered standing had no effect. Change: PatientTask accepts actions and runs the partitions whose leases it holds; a drain ends the targets' work before it closes the callers' side; withdrawals name the service in the query; the standing lowers the weight; links ping every 2 s, as 500 ms would cost 33 KB/s with 64 links each way.

--- a/Programs/BerylportDaemon.cpp
+++ b/Programs/BerylportDaemon.cpp
@@ -14,11 +14,10 @@
 
 cxxopts::Options makeOptions()
 {
-    cxxopts::Options options("berylportd", "Berylport node: admits and runs calls for the targets on this VM and sends calls to others.");
-    options.add_options()
-        ("settings", "settings file (docs/settings.md)", cxxopts::value<std::string>())
-        ("check", "check the settings file and exit")
-        ("help", "show this help");
+    cxxopts::Options options(
+        "berylportd", "Berylport node: admits and runs calls for the targets on this VM and sends calls to others.");
+    options.add_options()("settings", "settings file (docs/settings.md)", cxxopts::value<std::string>())(
+        "check", "check the settings file and exit")("help", "show this help");
     return options;
 }
 
@@ -42,7 +41,8 @@
         std::cout << "settings are valid\n";
         return 0;
     }
-    startLog({ .level = parseLevel(settings.value().log.level).value_or(Level::Info), .file = settings.value().log.file });
+    startLog(
+        { .level = parseLevel(settings.value().log.level).value_or(Level::Info), .file = settings.value().log.file });
     return static_cast<int>(runNode(settings.value()));
 }
 
--- a/Source/Log/EventCatalogue.cpp
+++ b/Source/Log/EventCatalogue.cpp
@@ -44,7 +44,7 @@
     { Event::CallGivenUp, Level::Info, "call-given-up",
         "A call ended without an answer of its target; fields give outcome and reason." },
     { Event::CallOutcomeUnknown, Level::Warning, "call-outcome-unknown",
-        "A non-idempotent call may have run; its caller was told so." },
+        "A call ended without its answer and may have run; its caller was told so." },
     { Event::RetryBudgetExhausted, Level::Warning, "retry-budget-exhausted",
         "A service's retries are stopped by its budget." },
     { Event::LateReplyDropped, Level::Debug, "late-reply-dropped",
--- a/Source/Node/CallerAnswers.cpp
+++ b/Source/Node/CallerAnswers.cpp
@@ -137,7 +137,9 @@
         return std::move(*response);
     }
     CallFailure failure = std::get<CallFailure>(answer.result);
-    std::string_view reason = answer.refusal ? toText(*answer.refusal) : toText(failure);
+    // A refusal before a later attempt that was lost or timed out is not the reason.
+    bool isRefused = failure == CallFailure::Refused && answer.refusal;
+    std::string_view reason = isRefused ? toText(*answer.refusal) : toText(failure);
     return makeResponse(statusOf(failure), answer.outcome, reason, answer.retryAfter);
 }
 
--- a/Source/Node/ConfigurationTable.cpp
+++ b/Source/Node/ConfigurationTable.cpp
@@ -22,10 +22,7 @@
     return n;
 }
 
-PlatformError makeError(PlatformErrorCode code)
-{
-    return { .code = code };
-}
+PlatformError makeError(PlatformErrorCode code) { return { .code = code }; }
 
 WriteResult resultOf(const PlatformError& error)
 {
@@ -72,7 +69,8 @@
 {
     std::weak_ptr<bool> alive = m_alive;
     m_table.scan(prefix, scanRows, after,
-        [this, alive, prefix, rows = std::move(rows), done = std::move(done)](Instant, PlatformResult<ScanPage> page) mutable {
+        [this, alive, prefix, rows = std::move(rows), done = std::move(done)](
+            Instant, PlatformResult<ScanPage> page) mutable {
             if (alive.expired())
                 return;
             if (!page) {
@@ -135,18 +133,19 @@
             return;
         }
         std::weak_ptr<bool> alive = m_alive;
-        m_table.get(servicePrefix + service.text, [alive, head = head.value(), done](Instant, PlatformResult<TableRow> row) {
-            if (alive.expired())
-                return;
-            std::optional<ServiceDefinition> definition;
-            if (row)
-                definition = decodeDefinition(row.value().value);
-            else if (row.error().code != PlatformErrorCode::NotFound) {
-                done(row.error());
-                return;
-            }
-            done(std::pair(head, definition));
-        });
+        m_table.get(
+            servicePrefix + service.text, [alive, head = head.value(), done](Instant, PlatformResult<TableRow> row) {
+                if (alive.expired())
+                    return;
+                std::optional<ServiceDefinition> definition;
+                if (row)
+                    definition = decodeDefinition(row.value().value);
+                else if (row.error().code != PlatformErrorCode::NotFound) {
+                    done(row.error());
+                    return;
+                }
+                done(std::pair(head, definition));
+            });
     });
 }
 
@@ -157,18 +156,19 @@
     transaction.puts.push_back({ .key = headKey, .value = change.token });
     std::visit(Overloaded {
                    [&](const PutService& it) {
-                       transaction.puts.push_back(
-                           { .key = servicePrefix + it.definition.name.text, .value = encodeDefinition(it.definition) });
+                       transaction.puts.push_back({ .key = servicePrefix + it.definition.name.text,
+                           .value = encodeDefinition(it.definition) });
                    },
                    [&](const RemoveService& it) { transaction.deletes.push_back(servicePrefix + it.name.text); },
                },
         change.change);
     std::weak_ptr<bool> alive = m_alive;
-    m_table.transact(std::move(transaction), [alive, done = std::move(done)](Instant, PlatformResult<TransactionResult> result) {
-        if (alive.expired())
-            return;
-        done(result ? WriteResult::Written : resultOf(result.error()));
-    });
+    m_table.transact(
+        std::move(transaction), [alive, done = std::move(done)](Instant, PlatformResult<TransactionResult> result) {
+            if (alive.expired())
+                return;
+            done(result ? WriteResult::Written : resultOf(result.error()));
+        });
 }
 
 void ConfigurationTable::readZones(std::function<void(PlatformResult<std::vector<ZoneConfirmation>>)> done)
@@ -187,8 +187,8 @@
     });
 }
 
-void ConfigurationTable::confirmZone(const ZoneName& zone, uint64_t version, std::string token,
-    std::function<void(PlatformResult<Done>)> done)
+void ConfigurationTable::confirmZone(
+    const ZoneName& zone, uint64_t version, std::string token, std::function<void(PlatformResult<Done>)> done)
 {
     std::string key = zonePrefix + zone.text;
     std::weak_ptr<bool> alive = m_alive;
@@ -206,7 +206,9 @@
         TableCheck check { .key = key, .requirement = RowAbsent {} };
         if (row)
             check.requirement = RowVersionEquals { .version = row.value().version };
-        Transaction transaction { .token = token, .checks = { check }, .puts = { { .key = key, .value = std::to_string(version) } } };
+        Transaction transaction {
+            .token = token, .checks = { check }, .puts = { { .key = key, .value = std::to_string(version) } }
+        };
         m_table.transact(std::move(transaction), [alive, done](Instant, PlatformResult<TransactionResult> result) {
             if (alive.expired())
                 return;
@@ -218,34 +220,37 @@
     });
 }
 
-void ConfigurationTable::removeZone(const ZoneName& zone, std::string token, std::function<void(PlatformResult<Done>)> done)
+void ConfigurationTable::removeZone(
+    const ZoneName& zone, std::string token, std::function<void(PlatformResult<Done>)> done)
 {
     std::weak_ptr<bool> alive = m_alive;
     Transaction transaction { .token = std::move(token), .deletes = { zonePrefix + zone.text } };
-    m_table.transact(std::move(transaction), [alive, done = std::move(done)](Instant, PlatformResult<TransactionResult> result) {
-        if (alive.expired())
-            return;
-        if (result)
-            done(Done {});
-        else
-            done(result.error());
-    });
+    m_table.transact(
+        std::move(transaction), [alive, done = std::move(done)](Instant, PlatformResult<TransactionResult> result) {
+            if (alive.expired())
+                return;
+            if (result)
+                done(Done {});
+            else
+                done(result.error());
+        });
 }
 
-void ConfigurationTable::writeSeed(NodeId node, const Endpoint& gossip, std::string token,
-    std::function<void(PlatformResult<Done>)> done)
+void ConfigurationTable::writeSeed(
+    NodeId node, const Endpoint& gossip, std::string token, std::function<void(PlatformResult<Done>)> done)
 {
     std::weak_ptr<bool> alive = m_alive;
     Transaction transaction { .token = std::move(token),
         .puts = { { .key = seedPrefix + toText(node), .value = toText(gossip) } } };
-    m_table.transact(std::move(transaction), [alive, done = std::move(done)](Instant, PlatformResult<TransactionResult> result) {
-        if (alive.expired())
-            return;
-        if (result)
-            done(Done {});
-        else
-            done(result.error());
-    });
+    m_table.transact(
+        std::move(transaction), [alive, done = std::move(done)](Instant, PlatformResult<TransactionResult> result) {
+            if (alive.expired())
+                return;
+            if (result)
+                done(Done {});
+            else
+                done(result.error());
+        });
 }
 
 void ConfigurationTable::removeSeed(NodeId node, std::string token)
--- a/Source/Node/ConfigurationTable.h
+++ b/Source/Node/ConfigurationTable.h
@@ -23,8 +23,8 @@
     void readHead(std::function<void(PlatformResult<uint64_t>)>);
     // The whole configuration of one version. Fails as Conflict when a change came in between.
     void readAll(std::function<void(PlatformResult<ConfigurationDelta>)>);
-    void readForChange(const ServiceName&,
-        std::function<void(PlatformResult<std::pair<uint64_t, std::optional<ServiceDefinition>>>)>);
+    void readForChange(
+        const ServiceName&, std::function<void(PlatformResult<std::pair<uint64_t, std::optional<ServiceDefinition>>>)>);
     void write(const WriteChange&, std::function<void(WriteResult)>);
 
     void readZones(std::function<void(PlatformResult<std::vector<ZoneConfirmation>>)>);
--- a/Source/Node/ConfigurationTask.cpp
+++ b/Source/Node/ConfigurationTask.cpp
@@ -26,7 +26,9 @@
 
 LeaseOptions makeLeaseOptions(const NodeContext& context)
 {
-    return { .name = "coordinator/" + context.settings.node.zone.text, .holder = context.self, .instance = context.seed + 1 };
+    return {
+        .name = "coordinator/" + context.settings.node.zone.text, .holder = context.self, .instance = context.seed + 1
+    };
 }
 
 std::string joinNames(const std::vector<ZoneName>& zones)
@@ -108,10 +110,11 @@
             return;
         }
         noteStore(true);
-        m_table.confirmZone(m_context.settings.node.zone, 0, newToken("zone"), guarded([this](PlatformResult<Done> registered) {
-            m_isRegistering = false;
-            m_isRegistered = registered.has_value() || registered.error().code == PlatformErrorCode::Conflict;
-        }));
+        m_table.confirmZone(
+            m_context.settings.node.zone, 0, newToken("zone"), guarded([this](PlatformResult<Done> registered) {
+                m_isRegistering = false;
+                m_isRegistered = registered.has_value() || registered.error().code == PlatformErrorCode::Conflict;
+            }));
         findSeeds();
     }));
 }
@@ -228,10 +231,7 @@
         m_guard.servingPeerKnown(fetched.delta.version, m_store.version(), fetched.askedAt);
 }
 
-void ConfigurationTask::handle(ConfigurationFetchFailed&&)
-{
-    m_fetchingFrom.reset();
-}
+void ConfigurationTask::handle(ConfigurationFetchFailed&&) { m_fetchingFrom.reset(); }
 
 void ConfigurationTask::askPeer()
 {
@@ -260,15 +260,9 @@
         m_lease.standDown();
 }
 
-void ConfigurationTask::handle(ZoneMemberLeft&& message)
-{
-    m_coordinator.memberLeft(message.node);
-}
+void ConfigurationTask::handle(ZoneMemberLeft&& message) { m_coordinator.memberLeft(message.node); }
 
-void ConfigurationTask::handle(TakenForDead&&)
-{
-    m_guard.declaredDead(steadyNow());
-}
+void ConfigurationTask::handle(TakenForDead&&) { m_guard.declaredDead(steadyNow()); }
 
 void ConfigurationTask::handle(ContactLost&& message)
 {
@@ -283,10 +277,7 @@
 
 // --- coordinator
 
-void ConfigurationTask::perform(ReadHead&&)
-{
-    readHead(true);
-}
+void ConfigurationTask::perform(ReadHead&&) { readHead(true); }
 
 void ConfigurationTask::perform(WriteZoneConfirmation&& action)
 {
@@ -296,18 +287,16 @@
         return;
     }
     uint64_t version = action.version;
-    m_table.confirmZone(m_context.settings.node.zone, version, newToken("confirm"), guarded([this, version](PlatformResult<Done> written) {
-        if (written)
-            m_coordinator.confirmationWritten(version);
-        else
-            m_coordinator.confirmationFailed();
-    }));
+    m_table.confirmZone(m_context.settings.node.zone, version, newToken("confirm"),
+        guarded([this, version](PlatformResult<Done> written) {
+            if (written)
+                m_coordinator.confirmationWritten(version);
+            else
+                m_coordinator.confirmationFailed();
+        }));
 }
 
-void ConfigurationTask::perform(RemindMembers&& action)
-{
-    m_context.ports.membership.post(std::move(action));
-}
+void ConfigurationTask::perform(RemindMembers&& action) { m_context.ports.membership.post(std::move(action)); }
 
 void ConfigurationTask::driveLease(Instant now)
 {
@@ -323,10 +312,8 @@
     }
     logEvent(Event::CoordinatorElected, { { "fencing_token", std::to_string(m_lease.fencingToken()) } });
     m_coordinator.start(now);
-    m_context.ports.membership.post(CoordinatorHeld { .coordinator = {
-                                                          .zone = m_context.settings.node.zone,
-                                                          .fencingToken = m_lease.fencingToken(),
-                                                          .node = m_context.self } });
+    m_context.ports.membership.post(CoordinatorHeld { .coordinator
+        = { .zone = m_context.settings.node.zone, .fencingToken = m_lease.fencingToken(), .node = m_context.self } });
 }
 
 // --- operators
@@ -402,7 +389,8 @@
     if (action.outcome == ChangeOutcome::Accepted)
         logEvent(Event::ConfigurationAccepted, { { "version", std::to_string(action.version) } });
     if (action.outcome == ChangeOutcome::Pending)
-        logEvent(Event::ConfigurationPending, { { "version", std::to_string(action.version) }, { "zones", joinNames(action.missingZones) } });
+        logEvent(Event::ConfigurationPending,
+            { { "version", std::to_string(action.version) }, { "zones", joinNames(action.missingZones) } });
     done({ .outcome = action.outcome,
         .version = action.version,
         .missingZones = std::move(action.missingZones),
@@ -438,7 +426,8 @@
         return;
     m_publishedGuard = state;
     m_context.status.guard = state;
-    logEvent(state == GuardState::Confirmed ? Event::NodeConfirmed : Event::NodeUnconfirmed, { { "state", std::string(toText(state)) } });
+    logEvent(state == GuardState::Confirmed ? Event::NodeConfirmed : Event::NodeUnconfirmed,
+        { { "state", std::string(toText(state)) } });
     m_context.ports.entry.post(ServingChanged { .state = state });
 }
 
--- a/Source/Node/EntryTask.cpp
+++ b/Source/Node/EntryTask.cpp
@@ -104,7 +104,7 @@
     if (!path.starts_with(ownPathPrefix))
         return false;
     if (path.starts_with(actionPathPrefix) && m_patient)
-        m_patient->showAction(path.substr(actionPathPrefix.size()), responder);
+        m_patient->showAction(path.substr(actionPathPrefix.size()), request, responder);
     else if (path == "/berylport/health")
         responder.answer({ .status = static_cast<uint16_t>(m_guard == GuardState::Confirmed ? 200 : 503),
             .body = std::string(toText(m_guard)) + "\n" });
@@ -243,7 +243,7 @@
 
 void EntryTask::handle(CatalogueChanged&& message) { m_catalogue = std::move(message.catalogue); }
 
-void EntryTask::handle(NodeGone&& message)
+void EntryTask::handle(MemberGone&& message)
 {
     CallActions actions;
     m_coordinator.targetGone(message.node, steadyNow(), actions);
--- a/Source/Node/EntryTask.h
+++ b/Source/Node/EntryTask.h
@@ -16,7 +16,7 @@
 public:
     virtual ~PatientGate() = default;
     virtual void accept(const ServiceDefinition&, const CallerRequest&, HttpRequest, Responder) = 0;
-    virtual void showAction(std::string_view token, Responder) = 0;
+    virtual void showAction(std::string_view token, const HttpRequest&, Responder) = 0;
 };
 
 class EntryTask : public Task {
@@ -54,7 +54,7 @@
     void handle(QueryFailed&&);
     void handle(TargetsChanged&&);
     void handle(CatalogueChanged&&);
-    void handle(NodeGone&&);
+    void handle(MemberGone&&);
     void handle(ServingChanged&&);
     void handle(ParentFound&&);
     void handle(BeginDrain&&);
--- a/Source/Node/LinkTask.cpp
+++ b/Source/Node/LinkTask.cpp
@@ -5,13 +5,34 @@
 
 namespace Berylport {
 
+namespace {
+
+// A ping exchange takes about 256 bytes. At the 500 ms that PeerLink has by default, 64 links each way would send three
+// times the 11 KB/s that a node may spend on control.
+PeerLinksOptions makeLinksOptions()
+{
+    PeerLinksOptions options;
+    options.link.pingInterval = std::chrono::seconds(2);
+    options.link.silenceLimit = std::chrono::seconds(5);
+    return options;
+}
+
+PeerServerOptions makeServerOptions()
+{
+    PeerServerOptions options;
+    options.silenceLimit = std::chrono::seconds(5);
+    return options;
+}
+
+} // namespace
+
 LinkTask::LinkTask(NodeContext& context)
     : Task(context.loop, "link")
     , m_context(context)
     , m_mailbox(context.loop,
           guarded([this](LinkMessage&& message) { std::visit([this](auto& it) { handle(std::move(it)); }, message); }))
-    , m_server(context.loop, context.self, *this, {})
-    , m_links(context.loop, context.self, context.seed, {},
+    , m_server(context.loop, context.self, *this, makeServerOptions())
+    , m_links(context.loop, context.self, context.seed, makeLinksOptions(),
           { .opened =
                   [](const PeerAddress& address) {
                       logEvent(Event::LinkOpened, { { "peer", toText(address.node) } });
@@ -168,12 +189,42 @@
         });
 }
 
-void LinkTask::handle(NodeGone&& message)
+void LinkTask::handle(MemberGone&& message)
 {
     if (auto address = addressOf(message.node))
         m_links.forget(*address);
 }
 
+void LinkTask::handle(SendForAction&& message)
+{
+    auto address = addressOf(message.node);
+    if (!address) {
+        message.done(std::nullopt);
+        return;
+    }
+    m_links.send(*address, std::move(message.request), [done = std::move(message.done)](CallResult result) {
+        if (result)
+            done(std::move(result.value()));
+        else
+            done(std::nullopt);
+    });
+}
+
+void LinkTask::handle(QueryForAction&& message)
+{
+    auto address = addressOf(message.node);
+    if (!address) {
+        message.done(std::nullopt);
+        return;
+    }
+    m_links.query(*address, message.query, [done = std::move(message.done)](Result<QueryReply, PeerError> result) {
+        if (result)
+            done(std::move(result.value()));
+        else
+            done(std::nullopt);
+    });
+}
+
 void LinkTask::handle(DrainRemoteTarget&& message)
 {
     auto address = addressOf(message.node);
--- a/Source/Node/LinkTask.h
+++ b/Source/Node/LinkTask.h
@@ -33,7 +33,9 @@
     void handle(PeerBook&&);
     void handle(ConfirmLinks&&);
     void handle(FetchConfiguration&&);
-    void handle(NodeGone&&);
+    void handle(MemberGone&&);
+    void handle(SendForAction&&);
+    void handle(QueryForAction&&);
     void handle(DrainRemoteTarget&&);
     void handle(BeginDrain&&);
 
--- a/Source/Node/MembershipTask.cpp
+++ b/Source/Node/MembershipTask.cpp
@@ -157,8 +157,8 @@
         m_context.ports.configuration.post(ZoneMemberLeft { .node = event.node });
     if (event.kind != MemberEventKind::Dead)
         return;
-    m_context.ports.entry.post(NodeGone { .node = event.node });
-    m_context.ports.link.post(NodeGone { .node = event.node });
+    m_context.ports.entry.post(MemberGone { .node = event.node });
+    m_context.ports.link.post(MemberGone { .node = event.node });
 }
 
 void MembershipTask::perform(MembersChanged&&) { m_hasChanges = true; }
--- a/Source/Node/NodeContext.h
+++ b/Source/Node/NodeContext.h
@@ -28,6 +28,7 @@
     // In-flight work by task; a drain is complete when all are zero.
     size_t entryCalls { 0 };
     size_t admittedCalls { 0 };
+    size_t runningActions { 0 };
 };
 
 struct NodeContext {
--- a/Source/Node/NodeDaemon.cpp
+++ b/Source/Node/NodeDaemon.cpp
@@ -7,6 +7,7 @@
 #include "Node/LinkTask.h"
 #include "Node/MembershipTask.h"
 #include "Node/OperatorTask.h"
+#include "Node/PatientTask.h"
 #include "Node/TargetTask.h"
 #include "Trace/Trace.h"
 
@@ -46,14 +47,17 @@
     {
         auto sink = openSpanSink(m_context.settings.trace.output);
         if (!sink) {
-            logEvent(Event::StartFailed, { { "reason", "cannot open the trace output " + m_context.settings.trace.output } });
+            logEvent(Event::StartFailed,
+                { { "reason", "cannot open the trace output " + m_context.settings.trace.output } });
             return NodeExit::Failed;
         }
         m_context.tracer = makeJsonTracer(*sink, m_context.seed, toText(m_context.self));
         try {
             m_root.start();
             const ListenSection& listen = m_context.settings.listen;
-            logEvent(Event::NodeStarted, { { "node", toText(m_context.self) }, { "caller", toText(listen.caller) }, { "peer", toText(listen.peer) } });
+            logEvent(Event::NodeStarted,
+                { { "node", toText(m_context.self) }, { "caller", toText(listen.caller) },
+                    { "peer", toText(listen.peer) } });
             m_loop.run();
         } catch (const std::exception& ex) {
             logEvent(Event::StartFailed, { { "reason", ex.what() } });
@@ -82,10 +86,14 @@
         std::vector<ChildOptions> children;
         children.push_back(makeChild<LinkTask>("link"));
         children.push_back(makeChild<TargetTask>("target"));
-        children.push_back({ .name = "entry", .create = [this] { return std::make_unique<EntryTask>(m_context, m_patient); } });
+        children.push_back(
+            { .name = "entry", .create = [this] { return std::make_unique<EntryTask>(m_context, m_patient); } });
         children.push_back(makeChild<MembershipTask>("membership"));
         children.push_back(makeChild<ConfigurationTask>("configuration"));
-        children.push_back({ .name = "operator", .create = [this] { return std::make_unique<OperatorTask>(m_context, m_actions); } });
+        children.push_back({ .name = "patient",
+            .create = [this] { return std::make_unique<PatientTask>(m_context, m_patient, m_actions); } });
+        children.push_back(
+            { .name = "operator", .create = [this] { return std::make_unique<OperatorTask>(m_context, m_actions); } });
         return children;
     }
 
@@ -112,31 +120,42 @@
         }
         m_context.status.isDraining = true;
         m_drainDeadline = steadyNow() + m_context.settings.shutdown.drainLimit;
-        logEvent(Event::NodeDraining, { { "entry_calls", std::to_string(m_context.status.entryCalls) }, { "admitted_calls", std::to_string(m_context.status.admittedCalls) } });
+        logEvent(Event::NodeDraining,
+            { { "entry_calls", std::to_string(m_context.status.entryCalls) },
+                { "admitted_calls", std::to_string(m_context.status.admittedCalls) } });
         m_context.ports.membership.post(BeginDrain {});
         m_context.ports.target.post(BeginDrain {});
-        m_context.ports.entry.post(BeginDrain {});
-        m_context.ports.configuration.post(BeginDrain {});
+                m_context.ports.configuration.post(BeginDrain {});
+        m_context.ports.patient.post(BeginDrain {});
         m_drainTimer.startPeriodic(drainCheckInterval);
     }
 
+        // First the targets' work ends; until then calls that it makes through this node must be served. Then the callers'.
     void checkDrain()
     {
         Instant now = steadyNow();
-        bool isIdle = !m_context.status.entryCalls && !m_context.status.admittedCalls;
+        const NodeStatus& status = m_context.status;
+        bool isIdle = !status.admittedCalls && !status.runningActions && (!m_isEntryClosing || !status.entryCalls);
         if (!isIdle)
             m_idleSince.reset();
         else if (!m_idleSince)
             m_idleSince = now;
-        if (m_idleSince && now - *m_idleSince >= lingerTime)
+                bool isOver = m_idleSince && now - *m_idleSince >= lingerTime;
+        if (isOver && m_isEntryClosing)
             m_loop.stop();
-        else if (now >= m_drainDeadline)
+        else if (isOver) {
+            m_isEntryClosing = true;
+            m_idleSince.reset();
+            m_context.ports.entry.post(BeginDrain {});
+        } else if (now >= m_drainDeadline)
             cutShort("drain limit");
     }
 
     void cutShort(std::string reason)
     {
-        logEvent(Event::DrainCutShort, { { "reason", std::move(reason) }, { "entry_calls", std::to_string(m_context.status.entryCalls) }, { "admitted_calls", std::to_string(m_context.status.admittedCalls) } });
+        logEvent(Event::DrainCutShort,
+            { { "reason", std::move(reason) }, { "entry_calls", std::to_string(m_context.status.entryCalls) },
+                { "admitted_calls", std::to_string(m_context.status.admittedCalls) } });
         m_exit = NodeExit::CutShort;
         m_loop.stop();
     }
@@ -148,16 +167,14 @@
     Supervisor m_root;
     SignalWatcher m_signals;
     Timer m_drainTimer;
-    Instant m_drainDeadline;
+        Instant m_drainDeadline;
+    bool m_isEntryClosing { false };
     std::optional<Instant> m_idleSince;
     NodeExit m_exit { NodeExit::Clean };
 };
 
 } // namespace
 
-NodeExit runNode(const NodeSettings& settings)
-{
-    return NodeDaemon(settings).run();
-}
+NodeExit runNode(const NodeSettings& settings) { return NodeDaemon(settings).run(); }
 
 } // namespace Berylport
--- a/Source/Node/NodeMessages.h
+++ b/Source/Node/NodeMessages.h
@@ -6,6 +6,7 @@
 #include "Calls/CallActions.h"
 #include "Configuration/Configuration.h"
 #include "Node/Port.h"
+#include "Patient/Patient.h"
 
 #include <functional>
 #include <map>
@@ -53,7 +54,7 @@
     std::vector<TargetRecord> targets;
 };
 // The node with that id has ended; what it had started is lost.
-struct NodeGone {
+struct MemberGone {
     NodeId node;
 };
 struct ServingChanged {
@@ -64,15 +65,8 @@
     Result<ParentAllowance, RefusalReason> allowance;
 };
 
-// A patient action to run as a call of its own; the answer goes back through the function.
-struct RunAction {
-    StartCall call;
-    TargetId target;
-    std::function<void(CallReply)> done;
-};
-
 using EntryMessage = std::variant<AttemptReplied, AttemptNotSent, QueryReplied, QueryFailed, TargetsChanged,
-    CatalogueChanged, NodeGone, ServingChanged, ParentFound, BeginDrain>;
+    CatalogueChanged, MemberGone, ServingChanged, ParentFound, BeginDrain>;
 
 // --- to the target task
 
@@ -137,6 +131,18 @@
     UnknownTarget,
     Unreachable,
 };
+// A patient action's attempt at another node. No value: it was not sent and never will be.
+struct SendForAction {
+    NodeId node;
+    CallRequest request;
+    std::function<void(std::optional<CallReply>)> done;
+};
+// No value: the node cannot be reached at present.
+struct QueryForAction {
+    NodeId node;
+    CallQuery query;
+    std::function<void(std::optional<QueryReply>)> done;
+};
 struct DrainRemoteTarget {
     NodeId node;
     ServiceName service;
@@ -145,7 +151,7 @@
 };
 
 using LinkMessage = std::variant<SendAttempt, SendCancel, SendQuery, PeerBook, ConfirmLinks, FetchConfiguration,
-    NodeGone, DrainRemoteTarget, BeginDrain>;
+    MemberGone, SendForAction, QueryForAction, DrainRemoteTarget, BeginDrain>;
 
 // --- to the membership task
 
@@ -221,6 +227,17 @@
 using ConfigurationMessage = std::variant<PeerVersion, ConfigurationFetched, ConfigurationFetchFailed,
     ZoneMembersChanged, ZoneMemberLeft, TakenForDead, ContactLost, OperatorChange, ListZones, RetireZone, BeginDrain>;
 
+// --- to the patient task
+
+struct ActionOutcomeArrived {
+    uint32_t partition { 0 };
+    std::string token;
+    AttemptId attempt;
+    ActionOutcome outcome;
+};
+
+using PatientMessage = std::variant<ActionOutcomeArrived, BeginDrain>;
+
 // Every task's address.
 struct NodePorts {
     Port<EntryMessage> entry;
@@ -228,6 +245,7 @@
     Port<LinkMessage> link;
     Port<MembershipMessage> membership;
     Port<ConfigurationMessage> configuration;
+    Port<PatientMessage> patient;
 };
 
 } // namespace Berylport
--- a/Source/Node/OperatorTask.cpp
+++ b/Source/Node/OperatorTask.cpp
@@ -31,7 +31,8 @@
     case ChangeOutcome::StoreUnavailable:
         return makeError(OperatorErrorCode::StoreUnavailable, "the table service does not answer; nothing was changed");
     case ChangeOutcome::Unresolved:
-        return makeError(OperatorErrorCode::Unresolved, "the table service did not confirm the change, which may have been recorded");
+        return makeError(OperatorErrorCode::Unresolved,
+            "the table service did not confirm the change, which may have been recorded");
     }
     return {};
 }
@@ -63,7 +64,8 @@
 {
     auto endpoint = m_server.listen(m_context.settings.listen.operators);
     if (!endpoint)
-        throw std::runtime_error("operators' address " + toText(m_context.settings.listen.operators) + ": " + std::string(toText(endpoint.error())));
+        throw std::runtime_error("operators' address " + toText(m_context.settings.listen.operators) + ": "
+            + std::string(toText(endpoint.error())));
 }
 
 void OperatorTask::listServices(OperatorReply<ServiceList> reply)
@@ -85,12 +87,14 @@
         if (error.isError())
             logEvent(Event::OperatorRejected, { { "reason", std::string(toText(error.code)) } });
         reply({ .error = std::move(error),
-            .state = finished.outcome == ChangeOutcome::Pending ? ServiceChangeState::Pending : ServiceChangeState::Accepted,
+            .state
+            = finished.outcome == ChangeOutcome::Pending ? ServiceChangeState::Pending : ServiceChangeState::Accepted,
             .version = finished.version,
             .missingZones = std::move(finished.missingZones) });
     };
     if (!m_context.ports.configuration.post(OperatorChange { .request = std::move(change), .done = done }))
-        reply({ .error = makeError(OperatorErrorCode::StoreUnavailable, "the node is restarting its configuration task") });
+        reply({ .error
+            = makeError(OperatorErrorCode::StoreUnavailable, "the node is restarting its configuration task") });
 }
 
 void OperatorTask::listTargets(OperatorReply<std::vector<TargetRow>> reply)
@@ -114,14 +118,19 @@
 
 void OperatorTask::drainTarget(NodeId node, ServiceName service, bool isDrained, OperatorReply<OperatorError> reply)
 {
-    logEvent(Event::OperatorChange, { { "drain", isDrained ? "on" : "off" }, { "node", toText(node) }, { "service", service.text } });
+    logEvent(Event::OperatorChange,
+        { { "drain", isDrained ? "on" : "off" }, { "node", toText(node) }, { "service", service.text } });
     if (node == m_context.self) {
-        auto done = [reply](bool isKnown) { reply(isKnown ? OperatorError {} : errorOf(RemoteDrainError::UnknownTarget)); };
+        auto done
+            = [reply](bool isKnown) { reply(isKnown ? OperatorError {} : errorOf(RemoteDrainError::UnknownTarget)); };
         m_context.ports.target.post(DrainTarget { .service = service, .isDrained = isDrained, .done = done });
         return;
     }
-    auto done = [reply](Result<void, RemoteDrainError> result) { reply(result ? OperatorError {} : errorOf(result.error())); };
-    m_context.ports.link.post(DrainRemoteTarget { .node = node, .service = service, .isDrained = isDrained, .done = done });
+    auto done = [reply](Result<void, RemoteDrainError> result) {
+        reply(result ? OperatorError {} : errorOf(result.error()));
+    };
+    m_context.ports.link.post(
+        DrainRemoteTarget { .node = node, .service = service, .isDrained = isDrained, .done = done });
 }
 
 void OperatorTask::listMembers(OperatorReply<std::vector<MemberRow>> reply)
@@ -155,7 +164,8 @@
 {
     logEvent(Event::OperatorChange, { { "retire_zone", zone.text } });
     auto done = [reply](bool isDone) {
-        reply(isDone ? OperatorError {} : makeError(OperatorErrorCode::Unresolved, "the table service did not confirm; ask again"));
+        reply(isDone ? OperatorError {}
+                     : makeError(OperatorErrorCode::Unresolved, "the table service did not confirm; ask again"));
     };
     m_context.ports.configuration.post(RetireZone { .zone = zone, .done = done });
 }
@@ -193,7 +203,8 @@
     if (m_actions)
         m_actions->findAction(std::move(token), std::move(reply));
     else
-        reply({ .error = makeError(OperatorErrorCode::StoreUnavailable, "patient actions are not available on this node") });
+        reply({ .error
+            = makeError(OperatorErrorCode::StoreUnavailable, "patient actions are not available on this node") });
 }
 
 } // namespace Berylport
--- /dev/null
+++ b/Source/Node/PatientTask.cpp
@@ -0,0 +1,418 @@
+// Joins the patient decisions with the stores, the leases and the call path.
+#include "Node/PatientTask.h"
+
+#include "Log/Log.h"
+
+#include <chrono>
+
+namespace Berylport {
+
+namespace {
+
+constexpr Duration wakeInterval = std::chrono::milliseconds(50);
+constexpr Duration assignmentInterval = std::chrono::seconds(1);
+// Patient calls share the CallId's origin with callers' calls; the top bit keeps their sequences apart.
+constexpr uint64_t patientSequenceBit = uint64_t { 1 } << 63;
+// A node that has been up for this long has heard of every member.
+constexpr Duration membershipSettles = std::chrono::minutes(1);
+constexpr double fleetWritesPerSecond = 100;
+constexpr size_t tokenDigits = 32;
+constexpr std::string_view actionPath = "/berylport/actions/";
+
+HttpClientOptions makeClientOptions(const NodeContext& context, const std::optional<Endpoint>& server)
+{
+    HttpClientOptions options;
+    options.server = server.value_or(Endpoint {});
+    options.timeout = context.settings.platform.timeout;
+    options.jitterSeed = context.seed + 7;
+    return options;
+}
+
+int64_t unixMilliseconds()
+{
+    auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+HttpResponse makeAnswer(uint16_t status, std::string_view outcome, std::string_view reason, Duration retryAfter = {})
+{
+    HttpResponse response { .status = status };
+    setHeader(response.headers, "Content-Type", "application/json");
+    if (!outcome.empty())
+        setHeader(response.headers, Header::outcome, outcome);
+    setHeader(response.headers, Header::reason, reason);
+    if (retryAfter > Duration::zero()) {
+        int64_t milliseconds = std::chrono::ceil<std::chrono::milliseconds>(retryAfter).count();
+        setHeader(response.headers, Header::retryAfterMilliseconds, std::to_string(milliseconds));
+        setHeader(response.headers, Header::retryAfter, std::to_string((milliseconds + 999) / 1000));
+    }
+    response.body = "{\"reason\":\"" + std::string(reason) + "\"}\n";
+    return response;
+}
+
+HttpResponse answerFor(const AcceptResult& result)
+{
+    return std::visit(Overloaded {
+                          [](const ActionAccepted& it) {
+                              // It will run, so "not-run" would be false, and it need not have run yet.
+                              HttpResponse response = makeAnswer(202, toText(RunOutcome::MayHaveRun), "accepted");
+                              setHeader(response.headers, "Location", std::string(actionPath) + it.token);
+                              setHeader(response.headers, Header::idempotencyKey, it.token);
+                              return response;
+                          },
+                          [](const ActionConflict&) {
+                              return makeAnswer(409, toText(RunOutcome::NotRun), "idempotency-key-conflict");
+                          },
+                          [](const ActionTokenInvalid&) {
+                              return makeAnswer(400, toText(RunOutcome::NotRun), "invalid-idempotency-key");
+                          },
+                          [](const ActionRefused& it) {
+                              return makeAnswer(503, toText(RunOutcome::NotRun), toText(it.reason), it.retryAfter);
+                          },
+                          [](const ActionAcceptanceUnknown& it) {
+                              return makeAnswer(
+                                  503, toText(RunOutcome::MayHaveRun), "acceptance-unknown", it.retryAfter);
+                          },
+                      },
+        result);
+}
+
+HttpResponse answerFor(const ActionStatusResult& result)
+{
+    return std::visit(
+        Overloaded {
+            [](const ActionFound& it) {
+                HttpResponse response
+                    = it.state == ActionState::Done ? it.result : makeAnswer(200, "", toText(it.state));
+                // The action's own status is a header, as this answer is about the action.
+                setHeader(response.headers, "Berylport-Action-Status", std::to_string(it.result.status));
+                setHeader(response.headers, "Berylport-Action-State", toText(it.state));
+                response.status = 200;
+                return response;
+            },
+            [](const ActionNotFound&) { return makeAnswer(404, "", "unknown-action"); },
+            [](const ActionStatusUnavailable& it) { return makeAnswer(503, "", "store-unavailable", it.retryAfter); },
+        },
+        result);
+}
+
+ActionOutcome outcomeOf(CallReply&& reply)
+{
+    return std::visit([](auto& it) -> ActionOutcome { return std::move(it); }, reply);
+}
+
+ActionOutcome outcomeOf(QueryReply&& reply)
+{
+    return std::visit([](auto& it) -> ActionOutcome { return std::move(it); }, reply);
+}
+
+} // namespace
+
+PatientTask::PatientTask(NodeContext& context, PatientGate*& gate, ActionLookup*& lookup)
+    : Task(context.loop, "patient")
+    , m_context(context)
+    , m_gate(gate)
+    , m_lookup(lookup)
+    , m_mailbox(context.loop, guarded([this](PatientMessage&& message) {
+        std::visit([this](auto& it) { handle(std::move(it)); }, message);
+    }))
+    , m_table(context.loop.base(), makeClientOptions(context, context.settings.platform.table))
+    , m_objects(context.loop.base(), makeClientOptions(context, context.settings.platform.objects))
+    , m_budget({ .fleetWritesPerSecond = fleetWritesPerSecond,
+          .share = context.settings.platform.writesPerSecond / fleetWritesPerSecond })
+    // The task may be a restarted one, which must not repeat its predecessor's request tokens.
+    , m_random(context.seed ^ static_cast<uint64_t>(toMicroseconds(steadyNow())))
+    , m_acceptor(m_table, m_objects, m_budget, { .node = context.self, .instance = m_random.next() })
+    , m_status(m_table, m_objects)
+    , m_timer(context.loop, guarded([this] { wake(); }))
+{
+}
+
+PatientTask::~PatientTask() = default;
+
+void PatientTask::start()
+{
+    m_context.ports.patient.attach(&m_mailbox);
+    m_lastSequence = patientSequenceBit | (m_random.next() >> 1);
+    for (uint32_t n = 0; n < actionPartitionCount; ++n) {
+        LeaseOptions options { .name = partitionLeaseName(n), .holder = m_context.self, .instance = m_random.next() };
+        m_partitions[n] = Partition { .number = n, .lease = std::make_unique<LeaseDriver>(m_table, options) };
+    }
+    m_gate = this;
+    m_lookup = this;
+    m_timer.startPeriodic(wakeInterval);
+}
+
+void PatientTask::stop() noexcept
+{
+    m_gate = nullptr;
+    m_lookup = nullptr;
+    m_context.ports.patient.detach();
+    m_context.status.runningActions = 0;
+    m_timer.stop();
+}
+
+// --- callers and operators
+
+void PatientTask::accept(
+    const ServiceDefinition& definition, const CallerRequest& caller, HttpRequest http, Responder responder)
+{
+    auto key = findHeader(http.headers, Header::idempotencyKey);
+    std::string token
+        = key ? std::string(*key) : toText(NodeId { m_random.next() }) + toText(NodeId { m_random.next() });
+    static_assert(tokenDigits == 2 * 16, "two node ids of 16 digits");
+    removeCallerHeaders(http);
+    setHeader(http.headers, Header::idempotencyKey, token);
+    AcceptRequest request { .token = token,
+        .service = definition.name,
+        .tenant = caller.tenant,
+        .http = std::move(http),
+        .deduplicates = definition.deduplicates };
+    m_acceptor.accept(steadyNow(), std::move(request),
+        [&metrics = m_context.metrics, token, responder](Instant, const AcceptResult& result) {
+            if (std::holds_alternative<ActionAccepted>(result)) {
+                logEvent(Event::ActionAccepted, { { "token", token } });
+                metrics.add("berylport_actions_accepted_total");
+            }
+            responder.answer(answerFor(result));
+        });
+}
+
+void PatientTask::showAction(std::string_view token, const HttpRequest& request, Responder responder)
+{
+    auto tenant = findHeader(request.headers, Header::tenant).value_or("default");
+    m_status.query(std::string(token), TenantName(tenant),
+        [responder](Instant, const ActionStatusResult& result) { responder.answer(answerFor(result)); });
+}
+
+void PatientTask::findAction(std::string token, OperatorReply<ActionReply> reply)
+{
+    m_status.query(token, std::nullopt, [token, reply](Instant, const ActionStatusResult& result) {
+        ActionReply answer { .token = token };
+        if (auto* found = std::get_if<ActionFound>(&result)) {
+            answer.service = found->service;
+            answer.state = toText(found->state);
+            answer.resultStatus = found->result.status;
+        } else if (std::holds_alternative<ActionNotFound>(result))
+            answer.error = { .code = OperatorErrorCode::NotFound, .message = "no such action" };
+        else
+            answer.error
+                = { .code = OperatorErrorCode::StoreUnavailable, .message = "the table service does not answer" };
+        reply(std::move(answer));
+    });
+}
+
+// --- partitions
+
+void PatientTask::assignPartitions(Instant now)
+{
+    std::vector<NodeId> live;
+    for (auto& it : m_context.status.members) {
+        if (it.state == MemberState::Alive)
+            live.push_back(it.node);
+    }
+    if (live.empty())
+        live.push_back(m_context.self);
+    auto tries = partitionsToTry(m_context.self, live);
+    for (auto& [number, partition] : m_partitions) {
+        auto it = std::ranges::find(tries, number, &PartitionTry::partition);
+        if (it == tries.end()) {
+            partition.tryAt.reset();
+            partition.lease->standDown();
+        } else if (!partition.tryAt)
+            partition.tryAt = now + it->delay;
+    }
+}
+
+void PatientTask::begin(Partition& partition, Instant now)
+{
+    uint64_t fencingToken = partition.lease->fencingToken();
+    uint32_t number = partition.number;
+    auto holds = [lease = partition.lease.get(), fencingToken](Instant at) { return lease->holds(at, fencingToken); };
+    logEvent(Event::PartitionAcquired,
+        { { "partition", std::to_string(number) }, { "fencing_token", std::to_string(fencingToken) } });
+    ActionRunnerOptions options {
+        .node = m_context.self, .partition = number, .fencingToken = fencingToken, .instance = m_random.next()
+    };
+    ActionRunnerPorts ports { .table = m_table,
+        .objects = m_objects,
+        .budget = m_budget,
+        .holds = holds,
+        .selectTarget = [this](Instant, const ServiceName& service) { return selectTarget(service); },
+        .nextCallId = [this] { return CallId { .origin = m_context.self, .sequence = ++m_lastSequence }; },
+        .unixMilliseconds = unixMilliseconds,
+        .perform = [this, number](RunnerAction action) { perform(number, std::move(action)); } };
+    partition.runner = std::make_unique<ActionRunner>(options, std::move(ports));
+    ActionRetentionOptions retention {
+        .partition = number, .fencingToken = fencingToken, .node = m_context.self, .instance = m_random.next()
+    };
+    partition.retention
+        = std::make_unique<ActionRetention>(m_table, m_objects, m_budget, holds, unixMilliseconds, retention);
+    partition.runner->tick(now);
+}
+
+void PatientTask::drive(Partition& partition, Instant now)
+{
+    if (partition.tryAt && now >= *partition.tryAt && !m_isDraining)
+        partition.lease->acquire(now);
+    partition.lease->tick(now);
+    bool mustEnd = partition.runner && (partition.runner->isStopped() || !partition.lease->holds(now));
+    if (mustEnd) {
+        logEvent(Event::PartitionLost, { { "partition", std::to_string(partition.number) } });
+        partition.retention.reset();
+        partition.runner.reset();
+    }
+    if (!partition.runner && partition.lease->holds(now) && !m_isDraining)
+        begin(partition, now);
+    if (partition.runner)
+        partition.runner->tick(now);
+    if (partition.retention)
+        partition.retention->tick(now);
+    if (m_isDraining && partition.runner && partition.runner->isIdle()) {
+        partition.retention.reset();
+        partition.runner.reset();
+        partition.lease->release(now);
+    }
+}
+
+void PatientTask::wake()
+{
+    Instant now = steadyNow();
+    m_acceptor.tick(now);
+    if (now >= m_nextAssignment && !m_isDraining) {
+        m_nextAssignment = now + assignmentInterval;
+        assignPartitions(now);
+    }
+    size_t running = m_acceptor.pending();
+    for (auto& [number, partition] : m_partitions) {
+        drive(partition, now);
+        running += partition.runner && !partition.runner->isIdle();
+    }
+    m_context.status.runningActions = running;
+}
+
+// --- actions of the runners
+
+void PatientTask::perform(uint32_t partition, RunnerAction action)
+{
+    std::visit([&](auto& it) { perform(partition, std::move(it)); }, action);
+}
+
+std::function<void(ActionOutcome)> PatientTask::reporter(
+    uint32_t partition, std::string token, const AttemptId& attempt)
+{
+    return [&ports = m_context.ports, partition, token = std::move(token), attempt](ActionOutcome outcome) {
+        ports.patient.post(ActionOutcomeArrived {
+            .partition = partition, .token = token, .attempt = attempt, .outcome = std::move(outcome) });
+    };
+}
+
+void PatientTask::perform(uint32_t partition, DispatchAction&& action)
+{
+    auto definition = m_context.status.catalogue->services.find(action.service);
+    bool isKnown = definition != m_context.status.catalogue->services.end();
+    CallRequest request { .id = action.attempt,
+        .receiver = action.node,
+        .service = action.service,
+        .tenant = action.tenant,
+        .kind = RequestKind::Patient,
+        .priority = isKnown ? definition->second.priority : Priority::Bulk,
+        .deadline = action.deadline,
+        .http = std::move(action.http) };
+    auto report = reporter(partition, action.token, action.attempt);
+    AttemptId id = action.attempt;
+    auto notSent = [report, id] { report(CallRefused { .id = id, .reason = RefusalReason::ConnectFailed }); };
+    bool isPosted = false;
+    if (action.node == m_context.self) {
+        auto reply = [report](CallReply it) { report(outcomeOf(std::move(it))); };
+        isPosted = m_context.ports.target.post(
+            OfferCall { .link = LinkId {}, .request = std::move(request), .reply = reply });
+    } else {
+        auto done = [report, notSent](std::optional<CallReply> it) {
+            if (it)
+                report(outcomeOf(std::move(*it)));
+            else
+                notSent();
+        };
+        isPosted = m_context.ports.link.post(
+            SendForAction { .node = action.node, .request = std::move(request), .done = done });
+    }
+    if (!isPosted)
+        notSent();
+}
+
+void PatientTask::perform(uint32_t partition, QueryAction&& action)
+{
+    auto report = reporter(partition, action.token, action.attempt);
+    if (isGone(action.node)) {
+        report(NodeGone {});
+        return;
+    }
+    CallQuery query {
+        .id = action.attempt, .service = action.service, .receiver = action.node, .deadline = action.deadline
+    };
+    bool isPosted = false;
+    if (action.node == m_context.self) {
+        auto reply = [report](QueryReply it) { report(outcomeOf(std::move(it))); };
+        isPosted = m_context.ports.target.post(QueryCall { .link = LinkId {}, .query = query, .reply = reply });
+    } else {
+        auto done = [report](std::optional<QueryReply> it) {
+            if (it)
+                report(outcomeOf(std::move(*it)));
+            else
+                report(NodeUnreachable {});
+        };
+        isPosted = m_context.ports.link.post(QueryForAction { .node = action.node, .query = query, .done = done });
+    }
+    if (!isPosted)
+        report(NodeUnreachable {});
+}
+
+void PatientTask::perform(uint32_t partition, RunnerStopped&& stopped)
+{
+    // The next wake replaces the runner, as it must not be destroyed from here.
+    logEvent(Event::PartitionLost, { { "partition", std::to_string(partition) }, { "reason", stopped.reason } });
+}
+
+void PatientTask::handle(ActionOutcomeArrived&& message)
+{
+    Partition& partition = m_partitions[message.partition];
+    if (partition.runner)
+        partition.runner->noteOutcome(steadyNow(), message.token, message.attempt, std::move(message.outcome));
+}
+
+void PatientTask::handle(BeginDrain&&)
+{
+    m_isDraining = true;
+    for (auto& [number, partition] : m_partitions) {
+        partition.tryAt.reset();
+        partition.lease->standDown();
+        if (partition.runner)
+            partition.runner->drain();
+    }
+}
+
+std::optional<NodeId> PatientTask::selectTarget(const ServiceName& service)
+{
+    std::vector<NodeId> ready;
+    for (auto& it : m_context.status.targets) {
+        if (it.id.service == service && it.state == TargetState::Ready && !it.isSuspect)
+            ready.push_back(it.id.node);
+    }
+    if (ready.empty())
+        return std::nullopt;
+    return ready[m_random.below(ready.size())];
+}
+
+bool PatientTask::isGone(NodeId node) const
+{
+    if (node == m_context.self)
+        return false;
+    for (auto& it : m_context.status.members) {
+        if (it.node == node)
+            return it.state == MemberState::Dead;
+    }
+    return steadyNow() - m_context.status.startedAt >= membershipSettles;
+}
+
+} // namespace Berylport
--- a/Source/Node/TargetTask.cpp
+++ b/Source/Node/TargetTask.cpp
@@ -269,13 +269,13 @@
         responder.answer(std::move(page));
         return;
     }
-    if (request.target != "/announce")
+        if (request.method == "DELETE" && request.target.starts_with("/announce"))
+        withdraw(request, responder);
+    else if (request.target != "/announce")
         responder.answer(makeText(404, "only /announce and /metrics are here"));
     else if (request.method == "POST")
         announce(request, responder);
-    else if (request.method == "DELETE")
-        withdraw(request, responder);
-    else
+        else
         responder.answer(makeText(405, "POST announces a target, DELETE withdraws it"));
 }
 
@@ -297,8 +297,10 @@
 
 void TargetTask::withdraw(const HttpRequest& request, const Responder& responder)
 {
-    auto announcement = parseAnnouncement(request.body);
-    LocalTarget* target = announcement ? find(announcement.value().service) : nullptr;
+        // A DELETE has no body, so the service is in the query.
+    constexpr std::string_view prefix = "/announce?service=";
+    std::string_view path = request.target;
+    LocalTarget* target = path.starts_with(prefix) ? find(ServiceName(path.substr(prefix.size()))) : nullptr;
     if (!target || !target->announcement) {
         responder.answer(makeText(404, "no target of that service is announced"));
         return;
@@ -416,6 +418,9 @@
         logEvent(Event::AdmissionRefused,
             { { "call", toText(id.call) }, { "reason", std::string(toText(refused->reason)) } });
     }
+        // A target whose health and calls agree that it is unwell gets less work, as one that warms up.
+    bool isLowered = target.probe.standing() == TargetStanding::Lowered;
+    std::visit([&](auto& it) { it.load.isWarmingUp |= isLowered; }, reply.reply);
     m_spans.erase(id);
     if (auto function = target.replies.take(reply.link, id))
         function(std::move(reply.reply));
--- a/Source/Patient/ActionRunner.cpp
+++ b/Source/Patient/ActionRunner.cpp
@@ -293,6 +293,7 @@
     m_ports.perform(QueryAction { .token = tracked.token,
         .attempt = tracked.record.current.id,
         .node = tracked.record.current.node,
+        .service = tracked.record.service,
         .deadline = tracked.deadline });
 }
 
--- a/Source/Patient/ActionRunner.h
+++ b/Source/Patient/ActionRunner.h
@@ -66,6 +66,7 @@
     std::string token;
     AttemptId attempt;
     NodeId node;
+    ServiceName service;
     Instant deadline;
 };
 
--- a/Source/Patient/ActionStatus.cpp
+++ b/Source/Patient/ActionStatus.cpp
@@ -13,7 +13,7 @@
 {
 }
 
-void ActionStatus::query(std::string token, TenantName tenant, Callback callback)
+void ActionStatus::query(std::string token, std::optional<TenantName> tenant, Callback callback)
 {
     // No action has an invalid token. The question still goes to the store, so that the callback comes later.
     if (!isValidActionToken(token))
@@ -40,12 +40,14 @@
             if (!record) {
                 auto wait = result ? m_retryAfter : std::max(m_retryAfter, result.error().retryAfter);
                 query->callback(now, ActionStatusUnavailable { .retryAfter = wait });
-            } else if (record->tenant != query->tenant) {
+            } else if (query->tenant && record->tenant != *query->tenant) {
                 query->callback(now, ActionNotFound {});
             } else if (!record->resultObject.empty()) {
                 readResult(query, std::move(*record));
             } else {
-                query->callback(now, ActionFound { .state = record->state, .result = std::move(record->result) });
+                query->callback(now,
+                    ActionFound {
+                        .service = record->service, .state = record->state, .result = std::move(record->result) });
             }
         });
 }
@@ -63,7 +65,7 @@
                 query->callback(now, ActionStatusUnavailable { .retryAfter = wait });
                 return;
             }
-            ActionFound found { .state = record.state, .result = record.result };
+            ActionFound found { .service = record.service, .state = record.state, .result = record.result };
             found.result.body = std::move(result.value());
             query->callback(now, std::move(found));
         });
--- a/Source/Patient/ActionStatus.h
+++ b/Source/Patient/ActionStatus.h
@@ -6,11 +6,13 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <variant>
 
 namespace Berylport {
 
 struct ActionFound {
+    ServiceName service;
     ActionState state { ActionState::Accepted };
     // Complete when the state is Done.
     HttpResponse result;
@@ -27,12 +29,13 @@
     using Callback = std::function<void(Instant now, ActionStatusResult)>;
 
     ActionStatus(TableClient&, ObjectClient&, Duration retryAfter = std::chrono::seconds(1));
-    void query(std::string token, TenantName, Callback);
+    // Without a tenant, as operators ask, the action of any tenant is shown.
+    void query(std::string token, std::optional<TenantName>, Callback);
 
 private:
     struct Query {
         std::string token;
-        TenantName tenant;
+        std::optional<TenantName> tenant;
         Callback callback;
     };
     void read(std::shared_ptr<Query>, bool isOpen);
--- a/Source/Settings/SettingsSchema.cpp
+++ b/Source/Settings/SettingsSchema.cpp
@@ -125,7 +125,8 @@
         .defaultText = toText(field.defaultValue()) };
 }
 
-template <typename Section> SettingInfo optionalEndpoint(Place place, Field<Section, std::optional<Endpoint>> field, bool isRequired)
+template <typename Section>
+SettingInfo optionalEndpoint(Place place, Field<Section, std::optional<Endpoint>> field, bool isRequired)
 {
     auto parse = [=](NodeSettings& settings, std::string_view text) -> std::optional<std::string> {
         auto value = parseEndpoint(text);
@@ -260,7 +261,8 @@
     using P = PlatformSection;
     using M = MembershipSection;
     list.push_back(optionalEndpoint({ "platform", "table", "table service" }, Field { &S::platform, &P::table }, true));
-    list.push_back(optionalEndpoint({ "platform", "objects", "object store" }, Field { &S::platform, &P::objects }, true));
+    list.push_back(
+        optionalEndpoint({ "platform", "objects", "object store" }, Field { &S::platform, &P::objects }, true));
     list.push_back(milliseconds({ "platform", "timeout_ms", "wait for one answer of the platform" },
         Field { &S::platform, &P::timeout }, 10, minute));
     list.push_back(number({ "platform", "writes_per_second", "store writes that this node may make" }, "count",
