Match the scenarios to the operators' client

Cause: the scenarios assumed names of operator commands and wrote a fixed version. Conclusion: the scenarios with operators have not run yet.

--- a/tests/Process/harness.py
+++ b/tests/Process/harness.py
@@ -84,6 +84,7 @@
         self.loads = {}
         self.requests = {}
         self.background = {}
+        self.versions = {}
         self.taken = set()
         self.deadline = time.monotonic() + SCENARIO_LIMIT_S
 
@@ -229,19 +230,28 @@
         except ValueError:
             return [it for line in out.splitlines() if line.strip() for it in find_objects(json.loads(line))]
 
-    def substitute(self, node, word):
-        """Replaces {id:NODE} by the node's id and {version:SERVICE} by the version that the node holds."""
+    def substitute(self, word):
+        """Replaces {id:NODE} by the node's id and {version:SERVICE} by the version noted before."""
         def replacement(match):
             if match[1] == "id":
                 rows = self.operator_objects(match[2], "node", "status")
-                return str(next(it["node"] for it in rows if "node" in it))
-            rows = self.operator_objects(node, "service", "list")
-            return str(next(it["version"] for it in rows if it.get("name") == match[2] and "version" in it))
+                found = [it["node"] for it in rows if "node" in it]
+                if not found:
+                    raise StepFailure(f"no node id in {rows}")
+                return str(found[0])
+            return str(self.versions[match[2]])
 
         return re.sub(r"\{(id|version):([^}]+)\}", replacement, word)
 
+    def step_note_version(self, step, service):
+        rows = self.operator_objects(step.options["node"], "service", "show", service)
+        found = [it["version"] for it in rows if "version" in it]
+        if not found:
+            raise StepFailure(f"no version of {service} in {rows}")
+        self.versions[service] = int(found[0])
+
     def step_operator(self, step, node, *words):
-        words = [self.substitute(node, it) for it in words]
+        words = [self.substitute(it) for it in words]
 
         def condition():
             code, out, error = self.run_operator(node, words, step.options.get("within", 15))
--- a/tests/Process/script.py
+++ b/tests/Process/script.py
@@ -116,6 +116,7 @@
         ("node", "service")),
     "operator": Verb(
         ("node",), {"within": parse_duration, "until": parse_duration}, (), ("exit", "output"), True, True),
+    "note version": Verb(("service",), {"node": str}, ("node",)),
     "wait node": Verb(("node",), {"within": parse_duration}, ("within",)),
     "wait targets": Verb(("service", "count"), {"on": parse_names, "within": parse_duration}, ("on", "within")),
     "wait load": Verb(("load",), {"within": parse_duration}, ("within",)),
