--- a/Source/Node/CallerAnswers.cpp
+++ b/Source/Node/CallerAnswers.cpp
@@ -23,18 +23,6 @@
     setHeader(response.headers, Header::retryAfterMilliseconds, std::to_string(milliseconds));
 }
 
-HttpResponse makeResponse(uint16_t status, RunOutcome outcome, std::string_view reason, Duration retryAfter)
-{
-    HttpResponse response { .status = status };
-    setHeader(response.headers, "Content-Type", "application/json");
-    setHeader(response.headers, Header::outcome, toText(outcome));
-    setHeader(response.headers, Header::reason, reason);
-    addRetryAfter(response, retryAfter);
-    response.body
-        = "{\"outcome\":\"" + std::string(toText(outcome)) + "\",\"reason\":\"" + std::string(reason) + "\"}\n";
-    return response;
-}
-
 uint16_t statusOf(EntryRefusal refusal)
 {
     switch (refusal) {
@@ -123,11 +111,27 @@
     return "unknown";
 }
 
+HttpResponse makeSystemAnswer(
+    uint16_t status, std::optional<RunOutcome> outcome, std::string_view reason, Duration retryAfter)
+{
+    HttpResponse response { .status = status };
+    std::string outcomeField;
+    if (outcome) {
+        setHeader(response.headers, Header::outcome, toText(*outcome));
+        outcomeField = "\"outcome\":\"" + std::string(toText(*outcome)) + "\",";
+    }
+    setHeader(response.headers, "Content-Type", "application/json");
+    setHeader(response.headers, Header::reason, reason);
+    addRetryAfter(response, retryAfter);
+    response.body = "{" + outcomeField + "\"reason\":\"" + std::string(reason) + "\"}\n";
+    return response;
+}
+
 HttpResponse makeRefusal(EntryRefusal refusal)
 {
     uint16_t status = statusOf(refusal);
     Duration retryAfter = status == 503 ? unconfirmedRetryAfter : Duration::zero();
-    return makeResponse(status, RunOutcome::NotRun, toText(refusal), retryAfter);
+    return makeSystemAnswer(status, RunOutcome::NotRun, toText(refusal), retryAfter);
 }
 
 HttpResponse makeAnswer(AnswerCaller&& answer)
@@ -140,7 +144,7 @@
     // A refusal before a later attempt that was lost or timed out is not the reason.
     bool isRefused = failure == CallFailure::Refused && answer.refusal;
     std::string_view reason = isRefused ? toText(*answer.refusal) : toText(failure);
-    return makeResponse(statusOf(failure), answer.outcome, reason, answer.retryAfter);
+    return makeSystemAnswer(statusOf(failure), answer.outcome, reason, answer.retryAfter);
 }
 
 Result<CallerRequest, EntryRefusal> readCallerRequest(const HttpRequest& request)
--- a/Source/Node/CallerAnswers.h
+++ b/Source/Node/CallerAnswers.h
@@ -40,6 +40,9 @@
 
 std::string_view toText(EntryRefusal);
 
+// Any answer of the system itself. Without an outcome it is about something else than a request's execution.
+HttpResponse makeSystemAnswer(
+    uint16_t status, std::optional<RunOutcome>, std::string_view reason, Duration retryAfter = {});
 HttpResponse makeRefusal(EntryRefusal);
 // From the coordinator's final word about a call. A whole answer of the target passes with its outcome added.
 HttpResponse makeAnswer(AnswerCaller&&);
--- a/Source/Node/ConfigurationTable.cpp
+++ b/Source/Node/ConfigurationTable.cpp
@@ -171,6 +171,20 @@
         });
 }
 
+void ConfigurationTable::transact(Transaction transaction, std::function<void(PlatformResult<Done>)> done)
+{
+    std::weak_ptr<bool> alive = m_alive;
+    m_table.transact(
+        std::move(transaction), [alive, done = std::move(done)](Instant, PlatformResult<TransactionResult> result) {
+            if (alive.expired())
+                return;
+            if (result)
+                done(Done {});
+            else
+                done(result.error());
+        });
+}
+
 void ConfigurationTable::readZones(std::function<void(PlatformResult<std::vector<ZoneConfirmation>>)> done)
 {
     readPages(zonePrefix, "", {}, [done = std::move(done)](PlatformResult<std::vector<TableRow>> rows) {
@@ -209,48 +223,23 @@
         Transaction transaction {
             .token = token, .checks = { check }, .puts = { { .key = key, .value = std::to_string(version) } }
         };
-        m_table.transact(std::move(transaction), [alive, done](Instant, PlatformResult<TransactionResult> result) {
-            if (alive.expired())
-                return;
-            if (result)
-                done(Done {});
-            else
-                done(result.error());
-        });
+        transact(std::move(transaction), done);
     });
 }
 
 void ConfigurationTable::removeZone(
     const ZoneName& zone, std::string token, std::function<void(PlatformResult<Done>)> done)
 {
-    std::weak_ptr<bool> alive = m_alive;
     Transaction transaction { .token = std::move(token), .deletes = { zonePrefix + zone.text } };
-    m_table.transact(
-        std::move(transaction), [alive, done = std::move(done)](Instant, PlatformResult<TransactionResult> result) {
-            if (alive.expired())
-                return;
-            if (result)
-                done(Done {});
-            else
-                done(result.error());
-        });
+    transact(std::move(transaction), std::move(done));
 }
 
 void ConfigurationTable::writeSeed(
     NodeId node, const Endpoint& gossip, std::string token, std::function<void(PlatformResult<Done>)> done)
 {
-    std::weak_ptr<bool> alive = m_alive;
     Transaction transaction { .token = std::move(token),
         .puts = { { .key = seedPrefix + toText(node), .value = toText(gossip) } } };
-    m_table.transact(
-        std::move(transaction), [alive, done = std::move(done)](Instant, PlatformResult<TransactionResult> result) {
-            if (alive.expired())
-                return;
-            if (result)
-                done(Done {});
-            else
-                done(result.error());
-        });
+    transact(std::move(transaction), std::move(done));
 }
 
 void ConfigurationTable::removeSeed(NodeId node, std::string token)
--- a/Source/Node/ConfigurationTable.h
+++ b/Source/Node/ConfigurationTable.h
@@ -37,6 +37,7 @@
     void readSeeds(std::function<void(PlatformResult<std::vector<std::pair<NodeId, Endpoint>>>)>);
 
 private:
+    void transact(Transaction, std::function<void(PlatformResult<Done>)>);
     void readPages(std::string prefix, std::string after, std::vector<TableRow> rows,
         std::function<void(PlatformResult<std::vector<TableRow>>)>);
 
--- a/Source/Node/PatientTask.cpp
+++ b/Source/Node/PatientTask.cpp
@@ -34,69 +34,53 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
 }
 
-HttpResponse makeAnswer(uint16_t status, std::string_view outcome, std::string_view reason, Duration retryAfter = {})
+HttpResponse answerFor(const AcceptResult& result)
 {
-    HttpResponse response { .status = status };
-    setHeader(response.headers, "Content-Type", "application/json");
-    if (!outcome.empty())
-        setHeader(response.headers, Header::outcome, outcome);
-    setHeader(response.headers, Header::reason, reason);
-    if (retryAfter > Duration::zero()) {
-        int64_t milliseconds = std::chrono::ceil<std::chrono::milliseconds>(retryAfter).count();
-        setHeader(response.headers, Header::retryAfterMilliseconds, std::to_string(milliseconds));
-        setHeader(response.headers, Header::retryAfter, std::to_string((milliseconds + 999) / 1000));
-    }
-    response.body = "{\"reason\":\"" + std::string(reason) + "\"}\n";
-    return response;
+    return std::visit(
+        Overloaded {
+            [](const ActionAccepted& it) {
+                // It will run, so "not-run" would be false, and it need not have run yet.
+                HttpResponse response = makeSystemAnswer(202, RunOutcome::MayHaveRun, "accepted");
+                setHeader(response.headers, "Location", std::string(actionPath) + it.token);
+                setHeader(response.headers, Header::idempotencyKey, it.token);
+                return response;
+            },
+            [](const ActionConflict&) { return makeSystemAnswer(409, RunOutcome::NotRun, "idempotency-key-conflict"); },
+            [](const ActionTokenInvalid&) {
+                return makeSystemAnswer(400, RunOutcome::NotRun, "invalid-idempotency-key");
+            },
+            [](const ActionRefused& it) {
+                return makeSystemAnswer(503, RunOutcome::NotRun, toText(it.reason), it.retryAfter);
+            },
+            [](const ActionAcceptanceUnknown& it) {
+                return makeSystemAnswer(503, RunOutcome::MayHaveRun, "acceptance-unknown", it.retryAfter);
+            },
+        },
+        result);
 }
 
-HttpResponse answerFor(const AcceptResult& result)
+HttpResponse answerFor(const ActionStatusResult& result)
 {
     return std::visit(Overloaded {
-                          [](const ActionAccepted& it) {
-                              // It will run, so "not-run" would be false, and it need not have run yet.
-                              HttpResponse response = makeAnswer(202, toText(RunOutcome::MayHaveRun), "accepted");
-                              setHeader(response.headers, "Location", std::string(actionPath) + it.token);
-                              setHeader(response.headers, Header::idempotencyKey, it.token);
+                          [](const ActionFound& it) {
+                              HttpResponse response = it.state == ActionState::Done
+                                  ? it.result
+                                  : makeSystemAnswer(200, std::nullopt, toText(it.state));
+                              // The action's own status is a header, as this answer is about the action.
+                              setHeader(response.headers, "Berylport-Action-Status", std::to_string(it.result.status));
+                              setHeader(response.headers, "Berylport-Action-State", toText(it.state));
+                              setHeader(response.headers, Header::reason, toText(it.state));
+                              response.status = 200;
                               return response;
                           },
-                          [](const ActionConflict&) {
-                              return makeAnswer(409, toText(RunOutcome::NotRun), "idempotency-key-conflict");
-                          },
-                          [](const ActionTokenInvalid&) {
-                              return makeAnswer(400, toText(RunOutcome::NotRun), "invalid-idempotency-key");
-                          },
-                          [](const ActionRefused& it) {
-                              return makeAnswer(503, toText(RunOutcome::NotRun), toText(it.reason), it.retryAfter);
-                          },
-                          [](const ActionAcceptanceUnknown& it) {
-                              return makeAnswer(
-                                  503, toText(RunOutcome::MayHaveRun), "acceptance-unknown", it.retryAfter);
+                          [](const ActionNotFound&) { return makeSystemAnswer(404, std::nullopt, "unknown-action"); },
+                          [](const ActionStatusUnavailable& it) {
+                              return makeSystemAnswer(503, std::nullopt, "store-unavailable", it.retryAfter);
                           },
                       },
         result);
 }
 
-HttpResponse answerFor(const ActionStatusResult& result)
-{
-    return std::visit(
-        Overloaded {
-            [](const ActionFound& it) {
-                HttpResponse response
-                    = it.state == ActionState::Done ? it.result : makeAnswer(200, "", toText(it.state));
-                // The action's own status is a header, as this answer is about the action.
-                setHeader(response.headers, "Berylport-Action-Status", std::to_string(it.result.status));
-                setHeader(response.headers, "Berylport-Action-State", toText(it.state));
-                setHeader(response.headers, Header::reason, toText(it.state));
-                response.status = 200;
-                return response;
-            },
-            [](const ActionNotFound&) { return makeAnswer(404, "", "unknown-action"); },
-            [](const ActionStatusUnavailable& it) { return makeAnswer(503, "", "store-unavailable", it.retryAfter); },
-        },
-        result);
-}
-
 ActionOutcome outcomeOf(CallReply&& reply)
 {
     return std::visit([](auto& it) -> ActionOutcome { return std::move(it); }, reply);
--- a/Source/Settings/SettingsSchema.cpp
+++ b/Source/Settings/SettingsSchema.cpp
@@ -47,6 +47,19 @@
     return stream.str();
 }
 
+SettingInfo makeSetting(const Place& place, std::string_view unit, std::string range, SettingParser parse,
+    std::string defaultText, bool isRequired = false)
+{
+    return { .section = place.section,
+        .key = place.key,
+        .unit = unit,
+        .range = std::move(range),
+        .meaning = place.meaning,
+        .isRequired = isRequired,
+        .parse = std::move(parse),
+        .defaultText = std::move(defaultText) };
+}
+
 template <typename Section>
 SettingInfo milliseconds(Place place, Field<Section, Duration> field, int64_t minimum, int64_t maximum)
 {
@@ -57,13 +70,8 @@
         field.in(settings) = std::chrono::milliseconds(*n);
         return std::nullopt;
     };
-    return { .section = place.section,
-        .key = place.key,
-        .unit = "ms",
-        .range = rangeText(minimum, maximum),
-        .meaning = place.meaning,
-        .parse = parse,
-        .defaultText = std::to_string(toMilliseconds(field.defaultValue())) };
+    return makeSetting(
+        place, "ms", rangeText(minimum, maximum), parse, std::to_string(toMilliseconds(field.defaultValue())));
 }
 
 template <typename Section>
@@ -77,13 +85,7 @@
         field.in(settings) = *n;
         return std::nullopt;
     };
-    return { .section = place.section,
-        .key = place.key,
-        .unit = unit,
-        .range = rangeText(minimum, maximum),
-        .meaning = place.meaning,
-        .parse = parse,
-        .defaultText = std::to_string(field.defaultValue()) };
+    return makeSetting(place, unit, rangeText(minimum, maximum), parse, std::to_string(field.defaultValue()));
 }
 
 template <typename Section> SettingInfo share(Place place, Field<Section, double> field, double minimum, double maximum)
@@ -98,13 +100,7 @@
     };
     std::ostringstream defaultText;
     defaultText << field.defaultValue();
-    return { .section = place.section,
-        .key = place.key,
-        .unit = "share",
-        .range = rangeText(minimum, maximum),
-        .meaning = place.meaning,
-        .parse = parse,
-        .defaultText = defaultText.str() };
+    return makeSetting(place, "share", rangeText(minimum, maximum), parse, defaultText.str());
 }
 
 template <typename Section> SettingInfo endpoint(Place place, Field<Section, Endpoint> field)
@@ -116,13 +112,7 @@
         field.in(settings) = *value;
         return std::nullopt;
     };
-    return { .section = place.section,
-        .key = place.key,
-        .unit = "address:port",
-        .range = "IP number and port",
-        .meaning = place.meaning,
-        .parse = parse,
-        .defaultText = toText(field.defaultValue()) };
+    return makeSetting(place, "address:port", "IP number and port", parse, toText(field.defaultValue()));
 }
 
 template <typename Section>
@@ -135,14 +125,7 @@
         field.in(settings) = *value;
         return std::nullopt;
     };
-    return { .section = place.section,
-        .key = place.key,
-        .unit = "address:port",
-        .range = "IP number and port",
-        .meaning = place.meaning,
-        .isRequired = isRequired,
-        .parse = parse,
-        .defaultText = {} };
+    return makeSetting(place, "address:port", "IP number and port", parse, {}, isRequired);
 }
 
 std::string_view trim(std::string_view text)
@@ -168,13 +151,7 @@
         field.in(settings) = std::move(endpoints);
         return std::nullopt;
     };
-    return { .section = place.section,
-        .key = place.key,
-        .unit = "address:port",
-        .range = "comma-separated list",
-        .meaning = place.meaning,
-        .parse = parse,
-        .defaultText = {} };
+    return makeSetting(place, "address:port", "comma-separated list", parse, {});
 }
 
 template <typename Section, typename Tag> SettingInfo name(Place place, Field<Section, Name<Tag>> field)
@@ -185,14 +162,7 @@
         field.in(settings) = Name<Tag>(text);
         return std::nullopt;
     };
-    return { .section = place.section,
-        .key = place.key,
-        .unit = "name",
-        .range = "1 to 63 characters",
-        .meaning = place.meaning,
-        .isRequired = true,
-        .parse = parse,
-        .defaultText = {} };
+    return makeSetting(place, "name", "1 to 63 characters", parse, {}, true);
 }
 
 template <typename Section>
@@ -210,13 +180,7 @@
         }
         return "must be one of " + range;
     };
-    return { .section = place.section,
-        .key = place.key,
-        .unit = "text",
-        .range = range,
-        .meaning = place.meaning,
-        .parse = parse,
-        .defaultText = field.defaultValue() };
+    return makeSetting(place, "text", range, parse, field.defaultValue());
 }
 
 template <typename Section> SettingInfo text(Place place, std::string_view range, Field<Section, std::string> field)
@@ -225,13 +189,7 @@
         field.in(settings) = value;
         return std::nullopt;
     };
-    return { .section = place.section,
-        .key = place.key,
-        .unit = "text",
-        .range = std::string(range),
-        .meaning = place.meaning,
-        .parse = parse,
-        .defaultText = field.defaultValue() };
+    return makeSetting(place, "text", std::string(range), parse, field.defaultValue());
 }
 
 constexpr int64_t minute = 60'000;
--- a/tests/Process/harness.py
+++ b/tests/Process/harness.py
@@ -231,8 +231,11 @@
             return [it for line in out.splitlines() if line.strip() for it in find_objects(json.loads(line))]
 
     def substitute(self, word):
-        """Replaces {id:NODE} by the node's id and {version:SERVICE} by the version noted before."""
+        """Replaces {id:NODE} by the node's id, {port:PROCESS.KIND} by a port, {version:SERVICE} by the noted version."""
         def replacement(match):
+            if match[1] == "port":
+                name, kind = match[2].split(".")
+                return str(self.processes[name].ports[kind])
             if match[1] == "id":
                 rows = self.operator_objects(match[2], "node", "status")
                 found = [it["node"] for it in rows if "node" in it]
@@ -241,7 +244,7 @@
                 return str(found[0])
             return str(self.versions[match[2]])
 
-        return re.sub(r"\{(id|version):([^}]+)\}", replacement, word)
+        return re.sub(r"\{(id|port|version):([^}]+)\}", replacement, word)
 
     def step_note_version(self, step, service):
         rows = self.operator_objects(step.options["node"], "service", "show", service)
@@ -302,7 +305,7 @@
 
     def call(self, step, name):
         options = dict(step.options)
-        path = options.get("path", "/")
+        path = self.substitute(options.get("path", "/"))
         options["path"] = re.sub(
             r"\{([A-Za-z][A-Za-z0-9-]*)\.location\}", lambda it: self.requests[it[1]].headers["location"], path)
         port = self.processes[options["node"]].ports["caller"]
