Make a lone node its zone's coordinator

Cause: changes stayed pending on a fleet of one node. Membership published its members before the configuration task listened, and publishes again only when they change, so the node never tried for its zone's lease. First taken for a lost lease write; ruled out, as the dropped write was the seed row. Change: the configuration task starts from the members known; membership publishes once at its start. Conclusion: tasks that start later must not rely on events from before.

--- a/Source/Node/ConfigurationTask.cpp
+++ b/Source/Node/ConfigurationTask.cpp
@@ -2,6 +2,7 @@
 #include "Node/ConfigurationTask.h"
 
 #include "Log/Log.h"
+#include "Membership/Membership.h"
 
 namespace Berylport {
 
@@ -67,7 +68,13 @@
     m_context.ports.configuration.attach(&m_mailbox);
     m_context.status.configuration = &m_store;
     m_guard.started(steadyNow());
-    m_coordinator.updateMembers(std::vector { m_context.self }, steadyNow());
+    // A publication of members before this task ran was lost to it; without one a lone node would never be a candidate.
+    ZoneMembersChanged known { .present = { m_context.self } };
+    for (auto& it : m_context.status.members) {
+        if (it.node != m_context.self && it.zone == m_context.settings.node.zone && isPresent(it.state))
+            known.present.push_back(it.node);
+    }
+    handle(std::move(known));
     m_timer.startPeriodic(wakeInterval);
     readHead(false);
     wake();
--- a/Source/Node/MembershipTask.h
+++ b/Source/Node/MembershipTask.h
@@ -41,7 +41,8 @@
     Timer m_timer;
     PauseDetector m_pauses;
     // Published at most once an interval, as a publication of 3,900 members takes 9 ms.
-    bool m_hasChanges { false };
+    // True at first: the other tasks must hear of this node itself.
+    bool m_hasChanges { true };
     Instant m_lastPublication;
 };
 
