Refuse calls beside a target while the node's configuration is unconfirmed

Change: admission refuses new calls as unconfirmed, with a tombstone, so the refusal is truthful and the sender tries another target. Conclusion: an accepted change is in force on both sides of a call.

--- a/Source/Admission/AdmissionController.cpp
+++ b/Source/Admission/AdmissionController.cpp
@@ -143,6 +143,8 @@
 {
     if (m_isNodeDraining || m_state == TargetState::Draining)
         return RefusalReason::Draining;
+    if (!m_isConfirmed)
+        return RefusalReason::Unconfirmed;
     if (m_state != TargetState::Ready || !m_definition || !m_slots)
         return RefusalReason::NoTarget;
     return std::nullopt;
--- a/Source/Admission/AdmissionController.h
+++ b/Source/Admission/AdmissionController.h
@@ -43,6 +43,9 @@
     void setTargetState(Instant now, TargetState, AdmissionActions&);
     // The node leaves: no new call is accepted from now on, whatever the target's state becomes.
     void drain(Instant now, AdmissionActions&);
+    // While the node's configuration may be older than an accepted one, new calls are refused; what is admitted goes
+    // on.
+    void setConfirmed(bool isConfirmed) { m_isConfirmed = isConfirmed; }
 
     // Links have to be known for the pause gate. A link that opens while starts are held has to be pinged as well.
     void linkOpened(LinkId);
@@ -108,6 +111,7 @@
     std::optional<ServiceDefinition> m_definition;
     TargetState m_state { TargetState::Starting };
     bool m_isNodeDraining { false };
+    bool m_isConfirmed { true };
     uint16_t m_slots;
     // Equal to the number of ledger entries that are running.
     uint32_t m_running { 0 };
--- a/Source/Node/ConfigurationTask.cpp
+++ b/Source/Node/ConfigurationTask.cpp
@@ -436,6 +436,7 @@
     logEvent(state == GuardState::Confirmed ? Event::NodeConfirmed : Event::NodeUnconfirmed,
         { { "state", std::string(toText(state)) } });
     m_context.ports.entry.post(ServingChanged { .state = state });
+    m_context.ports.target.post(ServingChanged { .state = state });
 }
 
 void ConfigurationTask::wake()
--- a/Source/Node/NodeMessages.h
+++ b/Source/Node/NodeMessages.h
@@ -111,7 +111,7 @@
 };
 
 using TargetMessage = std::variant<OfferCall, CancelCall, QueryCall, LinkOpened, LinkClosed, LinkConfirmed, FindParent,
-    ReturnRetryTokens, DrainTarget, CatalogueChanged, BeginDrain>;
+    ReturnRetryTokens, DrainTarget, CatalogueChanged, ServingChanged, BeginDrain>;
 
 // --- to the link task
 
--- a/Source/Node/TargetTask.cpp
+++ b/Source/Node/TargetTask.cpp
@@ -107,6 +107,7 @@
     auto definition = m_catalogue->services.find(service);
     if (definition != m_catalogue->services.end())
         target->admission.setDefinition(definition->second);
+    target->admission.setConfirmed(m_context.status.guard == GuardState::Confirmed);
     if (m_isDraining) {
         AdmissionActions actions;
         target->admission.drain(steadyNow(), actions);
@@ -253,6 +254,12 @@
     }
 }
 
+void TargetTask::handle(ServingChanged&& message)
+{
+    for (auto& [service, target] : m_targets)
+        target->admission.setConfirmed(message.state == GuardState::Confirmed);
+}
+
 void TargetTask::handle(BeginDrain&&)
 {
     m_isDraining = true;
--- a/Source/Node/TargetTask.h
+++ b/Source/Node/TargetTask.h
@@ -31,6 +31,7 @@
     void handle(ReturnRetryTokens&&);
     void handle(DrainTarget&&);
     void handle(CatalogueChanged&&);
+    void handle(ServingChanged&&);
     void handle(BeginDrain&&);
 
     // --- HTTP on loopback
--- a/tests/Admission/AdmissionControllerTest.cpp
+++ b/tests/Admission/AdmissionControllerTest.cpp
@@ -271,6 +271,17 @@
     EXPECT_TRUE(bench.controller->isDrained());
 }
 
+// A call admitted under a definition that an accepted change has replaced would break the change's promise.
+TEST(AdmissionController, UnconfirmedNodeRefusesNewCallsForGood)
+{
+    AdmissionBench bench;
+    bench.controller->setConfirmed(false);
+    EXPECT_EQ(refusalsIn(bench.offer(attemptOf(1))), Reasons { RefusalReason::Unconfirmed });
+    bench.controller->setConfirmed(true);
+    EXPECT_EQ(refusalsIn(bench.offer(attemptOf(1))), Reasons { RefusalReason::RefusedBefore });
+    EXPECT_EQ(startsIn(bench.offer(attemptOf(2))), Ids { attemptOf(2) });
+}
+
 // A caller must not be left without a reply when the node ends before its calls.
 TEST(AdmissionController, StopGivesEverythingHeldItsFinalReply)
 {
