Ask the ledger of the right service; end spans with their replies

Cause: a query asked every target's ledger, wrote tombstones in all of them, and none when no target was known; spans of calls whose link was closed were never released (both found by reading). Change: a query goes to the ledger of its service, which is created if need be; a span belongs to the reply function that ends it; a nested call without a target task is refused at once. Conclusion: not-run by query now always leaves a tombstone.

--- a/Source/Node/EntryTask.cpp
+++ b/Source/Node/EntryTask.cpp
@@ -167,7 +167,8 @@
         begin(std::move(call), std::move(caller));
         return;
     }
-    m_context.ports.target.post(FindParent { .child = id, .parent = *request.parent });
+    if (!m_context.ports.target.post(FindParent { .child = id, .parent = *request.parent }))
+        m_mailbox.post(ParentFound { .child = id, .allowance = RefusalReason::UnknownParent });
     m_waitingChildren.emplace(id, WaitingChild { .call = std::move(call), .caller = std::move(caller) });
 }
 
--- a/Source/Node/TargetTask.cpp
+++ b/Source/Node/TargetTask.cpp
@@ -132,11 +132,14 @@
     AttemptId id = offer.request.id;
     m_budget.noteCallBytes(bytesOf(offer.request.http), steadyNow());
     auto parent = findHeader(offer.request.http.headers, Header::traceParent).value_or(std::string_view());
-    auto span = startSpan(*m_context.tracer, "admission", parent);
+    std::shared_ptr<opentracing::Span> span = startSpan(*m_context.tracer, "admission", parent);
     span->SetTag("service", offer.request.service.text);
-    // A duplicate keeps the span of the first.
-    m_spans.try_emplace(id, std::move(span));
-    target.replies.add(offer.link, id, std::move(offer.reply));
+    setHeader(offer.request.http.headers, Header::traceParent, traceParentText(span->context()));
+    // The span ends with the reply, or when the link is closed and the function is dropped.
+    target.replies.add(offer.link, id, [span, reply = std::move(offer.reply)](CallReply it) {
+        span->Finish();
+        reply(std::move(it));
+    });
     AdmissionActions actions;
     target.admission.offer(steadyNow(), offer.link, std::move(offer.request), actions);
     perform(target, actions);
@@ -152,20 +155,16 @@
 
 void TargetTask::handle(QueryCall&& message)
 {
-    // Every target is asked, so that all write a tombstone for an attempt that none of them knows.
-    std::optional<QueryReply> found;
-    m_queryReply = [&](QueryReply reply) {
-        bool isRefusal = std::holds_alternative<CallRefused>(reply);
-        if (!found || !isRefusal)
-            found = std::move(reply);
-    };
-    forEach([&](LocalTarget& target, AdmissionActions& actions) {
-        target.admission.query(steadyNow(), message.link, message.query, actions);
-    });
+    // The ledger of that service must hold the tombstone of an unknown attempt, also when no target was ever announced:
+    // the request may still be in the buffer of another link.
+    LocalTarget& target = findOrCreate(message.query.service);
+    QueryReply answer = CallLost { .id = message.query.id, .reason = LossReason::NodeStopped };
+    m_queryReply = [&answer](QueryReply reply) { answer = std::move(reply); };
+    AdmissionActions actions;
+    target.admission.query(steadyNow(), message.link, message.query, actions);
+    perform(target, actions);
     m_queryReply = nullptr;
-    if (!found)
-        found = CallRefused { .id = message.query.id, .reason = RefusalReason::NoTarget };
-    message.reply(std::move(*found));
+    message.reply(std::move(answer));
 }
 
 void TargetTask::handle(LinkOpened&& message)
@@ -390,9 +389,7 @@
     setHeader(
         http.headers, Header::deadline, std::to_string(std::max<int64_t>(0, toMilliseconds(start.deadline - now))));
     setHeader(http.headers, Header::parent, toText(start.id.call));
-    auto span = m_spans.find(start.id);
-    if (span != m_spans.end())
-        setHeader(http.headers, Header::traceParent, traceParentText(span->second->context()));
+
     AttemptId id = start.id;
     if (!target.client) {
         targetFinished(target, id, NotSent {});
@@ -428,7 +425,7 @@
     // A target whose health and calls agree that it is unwell gets less work, as one that warms up.
     bool isLowered = target.probe.standing() == TargetStanding::Lowered;
     std::visit([&](auto& it) { it.load.isWarmingUp |= isLowered; }, reply.reply);
-    m_spans.erase(id);
+
     if (auto function = target.replies.take(reply.link, id))
         function(std::move(reply.reply));
 }
--- a/Source/Node/TargetTask.h
+++ b/Source/Node/TargetTask.h
@@ -74,8 +74,8 @@
     uint64_t m_pause { 0 };
     bool m_isDraining { false };
     Instant m_nextCheck;
-    std::unordered_map<AttemptId, std::unique_ptr<opentracing::Span>> m_spans;
-    // Replies of queries that wait for admission's answer, in the order of asking.
+
+    // Takes admission's answer while a query is handed to it; null at other times.
     std::function<void(QueryReply)> m_queryReply;
 };
 
