--- a/Source/Base/TargetRecord.h
+++ b/Source/Base/TargetRecord.h
@@ -14,7 +14,8 @@
 struct TargetId {
     NodeId node;
     ServiceName service;
-    auto operator<=>(const TargetId&) const = default;
+    // clang-tidy 14 reports the comparison with zero inside a defaulted <=>.
+    auto operator<=>(const TargetId&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 enum class TargetState : uint8_t {
--- a/Source/Membership/MembershipService.cpp
+++ b/Source/Membership/MembershipService.cpp
@@ -206,8 +206,10 @@
     for (size_t n = 0; n < buckets.size(); ++n) {
         auto records = m_table.recordsInBucket(buckets[(first + n) % buckets.size()]);
         // A bucket of a large fleet exceeds the bound alone, so each exchange begins at another record as well.
-        if (!records.empty())
-            std::ranges::rotate(records, records.begin() + static_cast<ptrdiff_t>(m_random.below(records.size())));
+        if (!records.empty()) {
+            auto middle = records.begin() + static_cast<ptrdiff_t>(m_random.below(records.size()));
+            std::rotate(records.begin(), middle, records.end());
+        }
         for (auto& record : records) {
             size_t size = estimateBytes(record);
             if (bytes + size > m_options.maximumRecordBytes)
--- a/Source/Metrics/MetricRegistry.cpp
+++ b/Source/Metrics/MetricRegistry.cpp
@@ -94,8 +94,8 @@
         result.push_back({ .key = key, .value = value });
     for (auto& [key, distribution] : m_latencies) {
         LatencySummary summary = distribution.summary(now);
-        auto append = [&](std::string_view suffix, double value) {
-            MetricKey row = key;
+        auto append = [&result, &base = key](std::string_view suffix, double value) {
+            MetricKey row = base;
             row.name += suffix;
             result.push_back({ .key = row, .value = value });
         };
--- a/Source/Metrics/MetricRegistry.h
+++ b/Source/Metrics/MetricRegistry.h
@@ -15,7 +15,8 @@
     std::string name;
     std::string labelName;
     std::string labelValue;
-    auto operator<=>(const MetricKey&) const = default;
+    // clang-tidy 14 reports the comparison with zero inside a defaulted <=>.
+    auto operator<=>(const MetricKey&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 struct MetricRow {
--- a/Source/Node/PatientTask.cpp
+++ b/Source/Node/PatientTask.cpp
@@ -226,7 +226,8 @@
         .selectTarget = [this](Instant, const ServiceName& service) { return selectTarget(service); },
         .nextCallId = [this] { return CallId { .origin = m_context.self, .sequence = ++m_lastSequence }; },
         .unixMilliseconds = unixMilliseconds,
-        .perform = [this, number](RunnerAction action) { perform(number, std::move(action)); } };
+        .perform = [this, number](RunnerAction action) { perform(number, std::move(action)); },
+        .noteEnded = [this](std::string_view token, ActionState state) { noteEnded(token, state); } };
     partition.runner = std::make_unique<ActionRunner>(options, std::move(ports));
     ActionRetentionOptions retention {
         .partition = number, .fencingToken = fencingToken, .node = m_context.self, .instance = m_random.next()
@@ -377,6 +378,13 @@
     }
 }
 
+void PatientTask::noteEnded(std::string_view token, ActionState state)
+{
+    bool isInDoubt = state == ActionState::InDoubt;
+    logEvent(isInDoubt ? Event::ActionInDoubt : Event::ActionDone, { { "token", std::string(token) } });
+    m_context.metrics.add(isInDoubt ? "berylport_actions_in_doubt_total" : "berylport_actions_done_total");
+}
+
 std::optional<NodeId> PatientTask::selectTarget(const ServiceName& service)
 {
     std::vector<NodeId> ready;
--- a/Source/Node/PatientTask.h
+++ b/Source/Node/PatientTask.h
@@ -44,6 +44,7 @@
     void perform(uint32_t partition, QueryAction&&);
     void perform(uint32_t partition, RunnerStopped&&);
     std::function<void(ActionOutcome)> reporter(uint32_t partition, std::string token, const AttemptId&);
+    void noteEnded(std::string_view token, ActionState);
     std::optional<NodeId> selectTarget(const ServiceName&);
     bool isGone(NodeId) const;
 
--- a/Source/Node/TargetTask.cpp
+++ b/Source/Node/TargetTask.cpp
@@ -223,7 +223,7 @@
         result = granted;
         break;
     }
-    m_context.ports.entry.post(ParentFound { .child = message.child, .allowance = std::move(result) });
+    m_context.ports.entry.post(ParentFound { .child = message.child, .allowance = result });
 }
 
 void TargetTask::handle(ReturnRetryTokens&& message)
--- a/Source/Patient/ActionRunner.cpp
+++ b/Source/Patient/ActionRunner.cpp
@@ -524,6 +524,8 @@
             break;
         case ActionState::Done:
         case ActionState::InDoubt:
+            if (m_ports.noteEnded)
+                m_ports.noteEnded(batch[n], tracked.record.state);
             m_tracked.erase(batch[n]);
             break;
         }
--- a/Source/Patient/ActionRunner.h
+++ b/Source/Patient/ActionRunner.h
@@ -96,6 +96,8 @@
     // Wall clock.
     std::function<int64_t()> unixMilliseconds;
     std::function<void(RunnerAction)> perform;
+    // Hears of each action whose end is durable; may be empty.
+    std::function<void(std::string_view token, ActionState)> noteEnded {};
 };
 
 // Safe against a second runner of the same partition by three rules: every write checks the fencing token and the row
