Bound the wait for links after a pause

Cause: after a pause of 100 ms a node starts nothing until every link has answered; a frozen peer answered only when its link was closed for silence, so every caller of the target waited. Change: links that have not answered 500 ms after the pause are closed. Their peers find the link lost and ask what became of their calls.

--- a/Source/Node/LinkTask.cpp
+++ b/Source/Node/LinkTask.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 
+// After a pause all starts beside the targets wait until every link has answered. One frozen peer would hold them until
+// its link is closed for silence, 5 s; a peer whose link is closed earlier asks what became of its calls.
+constexpr Duration confirmationLimit = std::chrono::milliseconds(500);
+
 // A ping exchange takes about 256 bytes. At the 500 ms that PeerLink has by default, 64 links each way would send three
 // times the 11 KB/s that a node may spend on control.
 PeerLinksOptions makeLinksOptions()
@@ -42,6 +46,7 @@
                       logEvent(Event::LinkClosed,
                           { { "peer", toText(address.node) }, { "reason", std::string(toText(ec)) } });
                   } })
+    , m_confirmationTimer(context.loop, guarded([this] { closeUnconfirmed(); }))
 {
 }
 
@@ -161,11 +166,22 @@
 
 void LinkTask::handle(ConfirmLinks&& message)
 {
-    m_server.confirmLinks([&ports = m_context.ports, pause = message.pause](const LinkInfo& link) {
-        ports.target.post(LinkConfirmed { .link = link.id, .pause = pause });
+    m_unconfirmed.clear();
+    for (auto& it : m_server.links())
+        m_unconfirmed.insert(it.id);
+    m_confirmationTimer.startOnce(confirmationLimit);
+    m_server.confirmLinks([this, pause = message.pause](const LinkInfo& link) {
+        m_unconfirmed.erase(link.id);
+        m_context.ports.target.post(LinkConfirmed { .link = link.id, .pause = pause });
     });
 }
 
+void LinkTask::closeUnconfirmed()
+{
+    for (LinkId it : std::exchange(m_unconfirmed, {}))
+        m_server.closeLink(it);
+}
+
 void LinkTask::handle(FetchConfiguration&& message)
 {
     auto& ports = m_context.ports;
--- a/Source/Node/LinkTask.h
+++ b/Source/Node/LinkTask.h
@@ -4,7 +4,7 @@
 #include "Node/NodeContext.h"
 #include "Peer/Peer.h"
 
-#include <unordered_map>
+#include <set>
 
 namespace Berylport {
 
@@ -39,6 +39,7 @@
     void handle(DrainRemoteTarget&&);
     void handle(BeginDrain&&);
 
+    void closeUnconfirmed();
     // Nothing when membership does not know the node.
     std::optional<PeerAddress> addressOf(NodeId) const;
 
@@ -47,6 +48,9 @@
     PeerServer m_server;
     PeerLinks m_links;
     std::map<NodeId, Endpoint> m_endpoints;
+    // Links that have not answered since the last pause; they are closed when the timer fires.
+    std::set<LinkId> m_unconfirmed;
+    Timer m_confirmationTimer;
 };
 
 } // namespace Berylport
