--- a/Source/Node/CallerAnswers.cpp
+++ b/Source/Node/CallerAnswers.cpp
@@ -138,6 +138,8 @@
 {
     if (auto* response = std::get_if<HttpResponse>(&answer.result)) {
         setHeader(response->headers, Header::outcome, toText(RunOutcome::Run));
+        // Only the system itself gives reasons; a target's would be taken for one.
+        removeHeader(response->headers, Header::reason);
         return std::move(*response);
     }
     CallFailure failure = std::get<CallFailure>(answer.result);
