--- a/Source/Admission/AdmissionAction.h
+++ b/Source/Admission/AdmissionAction.h
@@ -17,6 +17,7 @@
     RequestKind kind { RequestKind::AtMostOnce };
     Instant deadline {};
     HttpRequest http {};
+    std::string requestId {};
 };
 
 // Closes the target connection of a running attempt; the node then reports targetLost.
--- a/Source/Admission/AdmissionController.cpp
+++ b/Source/Admission/AdmissionController.cpp
@@ -249,6 +249,7 @@
         .kind = entry.kind,
         .deadline = request.deadline,
         .http = std::move(request.http),
+        .requestId = std::move(request.requestId),
     });
 }
 
@@ -357,6 +358,21 @@
     tick(now, actions);
 }
 
+void AdmissionController::targetRefused(Instant now, const AttemptId& id, AdmissionActions& actions)
+{
+    LedgerEntry* entry = endRunning(id);
+    if (!entry)
+        return;
+    m_tenants.noteEnded(entry->tenant);
+    refuse(now, *entry, RefusalReason::Overloaded, actions);
+    tick(now, actions);
+}
+
+void AdmissionController::noteReportedLoad(Instant, const ReportedLoad& load)
+{
+    m_slownessPercent = load.slownessPercent;
+}
+
 void AdmissionController::refuse(Instant now, LedgerEntry& entry, RefusalReason reason, AdmissionActions& actions)
 {
     for (auto& it : m_ledger.refuse(now, entry, reason))
@@ -451,6 +467,7 @@
         .running = toCount(m_running),
         .queued = toCount(m_queue.size()),
         .serviceTime = m_serviceTime.average(),
+        .slownessPercent = m_slownessPercent,
         .isWarmingUp = m_state == TargetState::Ready && now < m_warmUntil,
     };
 }
--- a/Source/Admission/AdmissionController.h
+++ b/Source/Admission/AdmissionController.h
@@ -23,6 +23,16 @@
     LedgerOptions ledger {};
 };
 
+// Load as the target itself reports it.
+struct ReportedLoad {
+    uint16_t running { 0 };
+    uint16_t waiting { 0 };
+    uint16_t slots { 0 };
+    // How long work takes on its VM at present; 100 is its usual speed, zero is unknown.
+    uint16_t slownessPercent { 0 };
+    bool operator==(const ReportedLoad&) const = default;
+};
+
 // What a nested call inherits from its parent.
 struct ParentAllowance {
     Instant deadline;
@@ -41,6 +51,10 @@
     void setDefinition(const ServiceDefinition&);
     void setSlots(Instant now, uint16_t slots, AdmissionActions&);
     void setTargetState(Instant now, TargetState, AdmissionActions&);
+    // The target says that it is slow until then after its start.
+    void setColdUntil(Instant until) { m_warmUntil = until; }
+    // What the target itself says of its load and its VM.
+    void noteReportedLoad(Instant now, const ReportedLoad&);
     // The node leaves: no new call is accepted from now on, whatever the target's state becomes.
     void drain(Instant now, AdmissionActions&);
     // While the node's configuration may be older than an accepted one, new calls are refused; what is admitted goes
@@ -68,6 +82,9 @@
     // No byte of the request was sent.
     void targetNotReached(Instant now, const AttemptId&, AdmissionActions&);
 
+    // The target has answered that it did not run the request and will not.
+    void targetRefused(Instant now, const AttemptId&, AdmissionActions&);
+
     void tick(Instant now, AdmissionActions&);
     // When tick has something to do, unless another input comes first.
     std::optional<Instant> nextWake() const { return m_queue.earliestDeadline(); }
@@ -117,6 +134,8 @@
     uint32_t m_running { 0 };
     Instant m_warmUntil;
     ServiceTimeEstimator m_serviceTime;
+    // Zero while the target has not reported any.
+    uint16_t m_slownessPercent { 0 };
     TenantTable m_tenants;
     CallQueue m_queue;
     PauseGate m_gate;
--- a/Source/Base/CallMessages.h
+++ b/Source/Base/CallMessages.h
@@ -7,6 +7,7 @@
 #include "Base/Time.h"
 
 #include <cstdint>
+#include <string>
 #include <string_view>
 #include <variant>
 
@@ -42,6 +43,8 @@
     uint16_t queued { 0 };
     // Moving average over recent answers; zero when there were none.
     Duration serviceTime {};
+    // How long work takes on the target's VM at present, relative to its usual speed of 100; zero when unknown.
+    uint16_t slownessPercent { 0 };
     // The target has started a short while ago and gets less work.
     bool isWarmingUp { false };
     bool operator==(const LoadReport&) const = default;
@@ -58,10 +61,14 @@
     Priority priority { Priority::Normal };
     // On the receiver's clock once the link has translated it.
     Instant deadline;
+    // An answer by then is worth the most to the caller; translated like the deadline and never later than it.
+    Instant objective {};
     // Retry tokens that the subtree below this attempt may spend.
     uint32_t retryTokens { 0 };
     uint32_t depth { 0 };
     HttpRequest http;
+    // The caller's own name for the request, for logs. May be empty.
+    std::string requestId {};
 };
 
 struct CallCancel {
--- a/Source/Base/ConfigurationDelta.h
+++ b/Source/Base/ConfigurationDelta.h
@@ -4,6 +4,7 @@
 #include "Base/ServiceDefinition.h"
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace Berylport {
@@ -29,6 +30,9 @@
     ConfigurationDelta delta;
     // The answering node itself serves, so it holds at least what was accepted.
     bool isServing { false };
+    // The whole configuration as the operators' source wrote it, for nodes that are configured from such a source.
+    // Empty when the asking node holds it.
+    std::string document {};
     bool operator==(const ConfigurationOffer&) const = default;
 };
 
--- a/Source/Calls/CallActions.h
+++ b/Source/Calls/CallActions.h
@@ -17,10 +17,14 @@
     HttpRequest http;
     // Already shortened by the caller's own timeout and the parent's deadline.
     Instant deadline;
+    // An answer by then is worth the most to the caller.
+    Instant objective { Instant::max() };
     // Already bounded by what the parent has left.
     uint32_t retryTokens { 0 };
     uint32_t depth { 0 };
     std::optional<CallId> parent;
+    // The caller's own name for the request, for logs.
+    std::string requestId {};
 };
 
 // Why the caller gets no answer of the target.
--- a/Source/Calls/PendingCall.cpp
+++ b/Source/Calls/PendingCall.cpp
@@ -30,9 +30,11 @@
         .kind = m_start.definition.kind,
         .priority = m_start.definition.priority,
         .deadline = m_start.deadline,
+        .objective = std::min(m_start.objective, m_start.deadline),
         .retryTokens = attempt.tokensGiven,
         .depth = m_start.depth,
         .http = m_start.http,
+        .requestId = m_start.requestId,
     };
 }
 
--- a/Source/Configuration/Configuration.h
+++ b/Source/Configuration/Configuration.h
@@ -5,3 +5,4 @@
 #include "Configuration/ConfigurationCoordinator.h"
 #include "Configuration/ConfigurationStore.h"
 #include "Configuration/ConfirmationGuard.h"
+#include "Configuration/SourceFollower.h"
--- /dev/null
+++ b/Source/Configuration/SourceFollower.cpp
@@ -0,0 +1,65 @@
+#include "Configuration/SourceFollower.h"
+
+#include <algorithm>
+
+namespace Berylport {
+
+void SourceFollower::start(Instant, std::vector<FollowerAction>& actions) { actions.push_back(ReadSource {}); }
+
+void SourceFollower::sourceAnswered(uint64_t position, std::vector<FollowerAction>& actions)
+{
+    m_failures = 0;
+    m_retryAt.reset();
+    m_position = std::max(position, m_position.value_or(0));
+    actions.push_back(FollowSource { .position = *m_position, .wait = m_options.followWait });
+}
+
+void SourceFollower::historyLost(Instant now, std::vector<FollowerAction>&)
+{
+    m_position.reset();
+    // A read just after the loss may be as old as the position that was lost, so the next one is not made at once.
+    m_retryAt = now + m_options.firstRetry;
+}
+
+void SourceFollower::sourceFailed(Instant now)
+{
+    Duration wait = m_options.firstRetry * (1 << std::min<uint32_t>(m_failures, 10));
+    wait = std::min(wait, m_options.maximumRetry);
+    ++m_failures;
+    // Half to whole of the time, so that the nodes of a fleet do not return to the source together.
+    m_retryAt
+        = now + wait / 2 + Duration(static_cast<int64_t>(m_random.unit() * static_cast<double>(wait.count()) / 2));
+}
+
+void SourceFollower::peerHolds(NodeId node, uint64_t version, Instant now, std::vector<FollowerAction>& actions)
+{
+    bool isWaiting = m_isFetching && now < m_fetchDeadline;
+    if (version <= m_version || isWaiting)
+        return;
+    m_isFetching = true;
+    m_fetchDeadline = now + m_options.fetchLimit;
+    actions.push_back(FetchFromPeer { .node = node });
+}
+
+void SourceFollower::fetchEnded() { m_isFetching = false; }
+
+bool SourceFollower::adopt(uint64_t version)
+{
+    if (version <= m_version)
+        return false;
+    m_version = version;
+    return true;
+}
+
+void SourceFollower::tick(Instant now, std::vector<FollowerAction>& actions)
+{
+    if (!m_retryAt || now < *m_retryAt)
+        return;
+    m_retryAt.reset();
+    if (m_position)
+        actions.push_back(FollowSource { .position = *m_position, .wait = m_options.followWait });
+    else
+        actions.push_back(ReadSource {});
+}
+
+} // namespace Berylport
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -644,6 +644,13 @@
         evhttp_del_accept_socket(m_state->http.get(), bound);
 }
 
+void HttpServer::setLimits(ParseLimits limits, Duration headTime, Duration idleTime)
+{
+    m_state->options.limits = limits;
+    m_state->options.headTime = headTime;
+    m_state->options.idleTime = idleTime;
+}
+
 void HttpServer::closeAfterAnswers()
 {
     m_state->isDraining = true;
--- a/Source/Http/HttpServer.h
+++ b/Source/Http/HttpServer.h
@@ -99,6 +99,8 @@
     // Port 0 takes any free one. Returns the endpoint in use.
     Result<Endpoint, HttpServerError> listen(const Endpoint&);
     void stopListening();
+    // Sizes hold for connections accepted from now on, times for all.
+    void setLimits(ParseLimits, Duration headTime, Duration idleTime);
     // From now on each connection is closed after its current answer, and at once when it is idle.
     void closeAfterAnswers();
     size_t connectionCount() const;
--- a/Source/Http/TargetClient.cpp
+++ b/Source/Http/TargetClient.cpp
@@ -272,7 +272,13 @@
     // An answer that came before the whole request was written leaves the rest of the request on the connection.
     bool isWritten = !evbuffer_get_length(bufferevent_get_output(m_bufferevent));
     bool isReusable = m_parser.isKeptAlive() && !hasTrailingBytes && isWritten;
-    finish(m_parser.take());
+    auto response = m_parser.take();
+    auto& isOwnAnswer = m_call->options.isOwnAnswer;
+    if (isOwnAnswer && !isOwnAnswer(response)) {
+        m_parser.expectAnswerTo(m_call->request.method);
+        return;
+    }
+    finish(std::move(response));
     if (!isReusable) {
         retire();
         return;
--- a/Source/Http/TargetClient.h
+++ b/Source/Http/TargetClient.h
@@ -82,6 +82,9 @@
 struct SendOptions {
     Instant deadline;
     bool isIdempotent { false };
+    // Whether an answer belongs to this request; empty accepts any. One that does not is skipped, and the next answer
+    // on the connection is taken.
+    std::function<bool(const HttpResponse&)> isOwnAnswer {};
 };
 
 struct TargetCall;
--- a/Source/Log/EventCatalogue.h
+++ b/Source/Log/EventCatalogue.h
@@ -48,6 +48,11 @@
     RestartLimitReached = 110,
     TargetAnnounced = 111,
     TargetStateChanged = 112,
+    AnnouncementRejected = 113,
+    TargetDeparted = 114,
+    ReadinessChanged = 115,
+    SettingsReloaded = 116,
+    LogLinesDropped = 117,
 
     RequestRejected = 201,
     CallerConnectionLimit = 202,
@@ -62,10 +67,16 @@
     CallOutcomeUnknown = 402,
     RetryBudgetExhausted = 403,
     LateReplyDropped = 404,
+    AttemptSent = 405,
+    CallAnswered = 406,
+    CallerLeft = 407,
 
     AdmissionRefused = 501,
     AnswerDropped = 502,
     LedgerFull = 503,
+    AdmissionQueued = 504,
+    AdmissionStarted = 505,
+    TargetAnswered = 506,
 
     MemberJoined = 601,
     MemberSuspected = 602,
@@ -74,6 +85,7 @@
     SeedsUnavailable = 605,
     NodeCutOff = 606,
     NodeContactRestored = 607,
+    SeedsFound = 608,
 
     ConfigurationApplied = 701,
     ConfigurationRecorded = 702,
@@ -84,6 +96,7 @@
     NodeUnconfirmed = 707,
     NodeConfirmed = 708,
     ConfigurationMalformed = 709,
+    ConfigurationHistoryLost = 710,
 
     ActionAccepted = 801,
     ActionDone = 802,
@@ -93,6 +106,7 @@
 
     StoreUnavailable = 901,
     StoreRecovered = 902,
+    RowMalformed = 903,
 
     OperatorChange = 1001,
     OperatorRejected = 1002,
--- a/Source/Log/Log.cpp
+++ b/Source/Log/Log.cpp
@@ -1,6 +1,8 @@
 // Writes events through easylogging++, one logger per channel.
 #include "Log/Log.h"
 
+#include "Log/LogOutput.h"
+
 #include <easylogging++.h>
 
 INITIALIZE_EASYLOGGINGPP
@@ -9,9 +11,32 @@
 
 namespace {
 
+// Gathered lines are written when this many bytes wait, or by flushLog().
+constexpr size_t gatherBytes = 16 * 1024;
+
 bool isStarted = false;
 Level threshold = Level::Info;
 
+LogOutput& output(size_t gather = 0)
+{
+    static LogOutput instance({ .gatherBytes = gather });
+    return instance;
+}
+
+// Takes the place of the library's own writing to standard output, which would wait for a slow reader.
+class OutputCallback : public el::LogDispatchCallback {
+protected:
+    void handle(const el::LogDispatchData* data) override
+    {
+        if (data->dispatchAction() != el::base::DispatchAction::NormalLog)
+            return;
+        auto* message = data->logMessage();
+        auto line = message->logger()->logBuilder()->build(message, true);
+        bool isImportant = message->level() == el::Level::Warning || message->level() == el::Level::Error;
+        output().append(line, isImportant, steadyNow());
+    }
+};
+
 void appendEscaped(std::string& line, std::string_view text)
 {
     static constexpr char digits[] = "0123456789abcdef";
@@ -34,7 +59,7 @@
     el::Configurations configurations;
     configurations.setToDefault();
     configurations.setGlobally(el::ConfigurationType::Format, "%datetime{%Y-%M-%dT%H:%m:%s.%g} %level %msg");
-    configurations.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    configurations.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
     // easylogging++ writes a file in the working directory unless this is off.
     configurations.setGlobally(el::ConfigurationType::ToFile, options.file.empty() ? "false" : "true");
     if (!options.file.empty())
@@ -74,6 +99,8 @@
 void startLog(const LogOptions& options)
 {
     threshold = options.level;
+    output(options.isGathered ? gatherBytes : 0);
+    el::Helpers::installLogDispatchCallback<OutputCallback>("BerylportOutput");
     auto configurations = makeConfigurations(options);
     el::Loggers::setDefaultConfigurations(configurations, true);
     for (auto& it : eventCatalogue())
@@ -81,6 +108,15 @@
     isStarted = true;
 }
 
+void setLogLevel(Level level) { threshold = level; }
+
+void flushLog()
+{
+    if (uint64_t n = output().takeDropped())
+        logEvent(Event::LogLinesDropped, { { "lines", std::to_string(n) } });
+    output().flush();
+}
+
 std::string formatEvent(Event event, std::initializer_list<LogField> fields)
 {
     std::string line(toText(channelOf(event)));
--- a/Source/Log/Log.h
+++ b/Source/Log/Log.h
@@ -17,12 +17,17 @@
 
 struct LogOptions {
     Level level { Level::Info };
-    // Empty: standard error only.
+    // Empty: standard output only.
     std::string file;
+    // Lines are gathered and written by flushLog(), which the program calls from its loop.
+    bool isGathered { false };
 };
 
 // Called once at the start of a program. Without it nothing is written.
 void startLog(const LogOptions&);
+void setLogLevel(Level);
+// Writes gathered lines as far as that needs no waiting, and reports how many were dropped.
+void flushLog();
 
 std::optional<Level> parseLevel(std::string_view);
 
--- a/Source/Node/Announcement.cpp
+++ b/Source/Node/Announcement.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+constexpr std::string_view loopback = "127.0.0.1";
 constexpr uint16_t defaultSlots = 10;
 constexpr uint16_t maximumSlots = 10'000;
 
@@ -38,7 +39,7 @@
     if (!state)
         return AnnouncementError::InvalidState;
     announcement.service = ServiceName(view(reader.getService()));
-    announcement.port = reader.getPort();
+    announcement.endpoint = { .address = std::string(loopback), .port = reader.getPort() };
     announcement.slots = reader.getSlots() ? reader.getSlots() : defaultSlots;
     announcement.state = *state;
     return announcement;
@@ -59,6 +60,10 @@
         return "slots must be 1 to 10000";
     case AnnouncementError::InvalidState:
         return "state must be starting, ready or draining";
+    case AnnouncementError::InvalidInstance:
+        return "the target's id, address or start time is missing or invalid";
+    case AnnouncementError::WrongMethod:
+        return "POST announces a target, DELETE withdraws it";
     }
     return "unknown";
 }
--- a/Source/Node/Announcement.h
+++ b/Source/Node/Announcement.h
@@ -3,15 +3,24 @@
 
 #include "Base/Base.h"
 
+#include <string>
 #include <string_view>
 
 namespace Berylport {
 
 struct TargetAnnouncement {
     ServiceName service;
-    uint16_t port { 0 };
+    Endpoint endpoint;
     uint16_t slots { 0 };
     TargetState state { TargetState::Ready };
+    // The target's own id; a restart mostly brings another one. Empty when it gives none.
+    std::string instance {};
+    // Milliseconds since the Unix epoch at which the target started, on its own clock. Zero when it does not say.
+    uint64_t startedAtMilliseconds { 0 };
+    // Grows with each announcement of one start. Zero when the target does not number them.
+    uint64_t sequence { 0 };
+    // For how much longer it is slow after its start.
+    Duration coldFor {};
 };
 
 enum class AnnouncementError : uint8_t {
@@ -20,6 +29,8 @@
     InvalidPort,
     InvalidSlots,
     InvalidState,
+    InvalidInstance,
+    WrongMethod,
 };
 
 std::string_view toText(AnnouncementError);
--- /dev/null
+++ b/Source/Node/AnnouncementOrder.cpp
@@ -0,0 +1,34 @@
+#include "Node/AnnouncementOrder.h"
+
+namespace Berylport {
+
+AnnouncementNews AnnouncementOrder::judge(const TargetAnnouncement& announcement, Instant now)
+{
+    if (announcement.instance.empty())
+        return AnnouncementNews::Current;
+    TargetIncarnation incarnation { .instance = announcement.instance,
+        .startedAtMilliseconds = announcement.startedAtMilliseconds };
+    if (m_departed == incarnation)
+        return AnnouncementNews::Departed;
+    bool isSameStart = m_current == incarnation;
+    if (isSameStart && announcement.sequence <= m_sequence)
+        return AnnouncementNews::Stale;
+    bool isEarlierStart
+        = m_current && !isSameStart && incarnation.startedAtMilliseconds < m_current->startedAtMilliseconds;
+    if (isEarlierStart && now - m_renewedAt < m_options.renewalLimit)
+        return AnnouncementNews::Stale;
+    m_current = std::move(incarnation);
+    m_sequence = announcement.sequence;
+    m_renewedAt = now;
+    return AnnouncementNews::Current;
+}
+
+std::optional<TargetIncarnation> AnnouncementOrder::withdraw(std::string_view instance)
+{
+    if (!m_current || m_current->instance != instance)
+        return std::nullopt;
+    m_departed = m_current;
+    return m_departed;
+}
+
+} // namespace Berylport
--- a/Source/Node/CallerAnswers.cpp
+++ b/Source/Node/CallerAnswers.cpp
@@ -1,6 +1,8 @@
 // Status, outcome, reason and time to come back of the answers that the system makes.
 #include "Node/CallerAnswers.h"
 
+#include "Node/Dialect.h"
+
 #include <charconv>
 
 namespace Berylport {
@@ -12,17 +14,6 @@
 constexpr Duration unconfirmedRetryAfter = std::chrono::milliseconds(500);
 constexpr std::string_view defaultTenant = "default";
 
-void addRetryAfter(HttpResponse& response, Duration wait)
-{
-    if (wait <= Duration::zero())
-        return;
-    int64_t milliseconds = std::max<int64_t>(1, std::chrono::ceil<std::chrono::milliseconds>(wait).count());
-    // Retry-After has whole seconds only; rounding down would bring the caller back too early.
-    int64_t seconds = (milliseconds + 999) / 1000;
-    setHeader(response.headers, Header::retryAfter, std::to_string(seconds));
-    setHeader(response.headers, Header::retryAfterMilliseconds, std::to_string(milliseconds));
-}
-
 uint16_t statusOf(EntryRefusal refusal)
 {
     switch (refusal) {
@@ -33,6 +24,7 @@
     case EntryRefusal::InvalidParent:
         return 400;
     case EntryRefusal::UnknownService:
+    case EntryRefusal::NoRoute:
         return 404;
     case EntryRefusal::Unconfirmed:
     case EntryRefusal::Isolated:
@@ -101,6 +93,8 @@
         return "invalid-parent";
     case EntryRefusal::UnknownService:
         return "unknown-service";
+    case EntryRefusal::NoRoute:
+        return "no-route";
     case EntryRefusal::Unconfirmed:
         return "unconfirmed";
     case EntryRefusal::Isolated:
@@ -111,8 +105,7 @@
     return "unknown";
 }
 
-HttpResponse makeSystemAnswer(
-    uint16_t status, std::optional<RunOutcome> outcome, std::string_view reason, Duration retryAfter)
+HttpResponse makeSystemAnswer(uint16_t status, std::optional<RunOutcome> outcome, std::string_view reason)
 {
     HttpResponse response { .status = status };
     std::string outcomeField;
@@ -122,19 +115,20 @@
     }
     setHeader(response.headers, "Content-Type", "application/json");
     setHeader(response.headers, Header::reason, reason);
-    addRetryAfter(response, retryAfter);
     response.body = "{" + outcomeField + "\"reason\":\"" + std::string(reason) + "\"}\n";
     return response;
 }
 
-HttpResponse makeRefusal(EntryRefusal refusal)
+HttpResponse makeRefusal(EntryRefusal refusal, const Dialect& dialect)
 {
     uint16_t status = statusOf(refusal);
-    Duration retryAfter = status == 503 ? unconfirmedRetryAfter : Duration::zero();
-    return makeSystemAnswer(status, RunOutcome::NotRun, toText(refusal), retryAfter);
+    HttpResponse response = makeSystemAnswer(status, RunOutcome::NotRun, toText(refusal));
+    if (status == 503)
+        dialect.setRetryAfter(response, unconfirmedRetryAfter);
+    return response;
 }
 
-HttpResponse makeAnswer(AnswerCaller&& answer)
+HttpResponse makeAnswer(AnswerCaller&& answer, const Dialect& dialect)
 {
     if (auto* response = std::get_if<HttpResponse>(&answer.result)) {
         setHeader(response->headers, Header::outcome, toText(RunOutcome::Run));
@@ -146,7 +140,10 @@
     // A refusal before a later attempt that was lost or timed out is not the reason.
     bool isRefused = failure == CallFailure::Refused && answer.refusal;
     std::string_view reason = isRefused ? toText(*answer.refusal) : toText(failure);
-    return makeSystemAnswer(statusOf(failure), answer.outcome, reason, answer.retryAfter);
+    HttpResponse response = makeSystemAnswer(statusOf(failure), answer.outcome, reason);
+    if (answer.retryAfter > Duration::zero())
+        dialect.setRetryAfter(response, answer.retryAfter);
+    return response;
 }
 
 Result<CallerRequest, EntryRefusal> readCallerRequest(const HttpRequest& request)
@@ -160,6 +157,7 @@
     if (!isValidName(tenant))
         return EntryRefusal::InvalidTenant;
     result.tenant = TenantName(tenant);
+    result.requestId = findHeader(request.headers, Header::requestId).value_or(std::string_view());
     if (auto timeout = findHeader(request.headers, Header::timeout)) {
         result.timeout = parseMilliseconds(*timeout);
         if (!result.timeout)
--- a/Source/Node/CallerAnswers.h
+++ b/Source/Node/CallerAnswers.h
@@ -23,6 +23,11 @@
 constexpr std::string_view deadline = "Berylport-Deadline-Ms";
 constexpr std::string_view idempotencyKey = "Idempotency-Key";
 constexpr std::string_view traceParent = "traceparent";
+// In answers of targets.
+constexpr std::string_view notRun = "Berylport-Not-Run";
+constexpr std::string_view load = "Berylport-Load";
+// The caller's own name for its request.
+constexpr std::string_view requestId = "Berylport-Request-Id";
 } // namespace Header
 
 // Why the entry node itself refuses a request, before any attempt.
@@ -33,6 +38,7 @@
     InvalidTimeout,
     InvalidParent,
     UnknownService,
+    NoRoute,
     Unconfirmed,
     Isolated,
     PatientUnavailable,
@@ -40,17 +46,21 @@
 
 std::string_view toText(EntryRefusal);
 
+class Dialect;
+
 // Any answer of the system itself. Without an outcome it is about something else than a request's execution.
-HttpResponse makeSystemAnswer(
-    uint16_t status, std::optional<RunOutcome>, std::string_view reason, Duration retryAfter = {});
-HttpResponse makeRefusal(EntryRefusal);
+HttpResponse makeSystemAnswer(uint16_t status, std::optional<RunOutcome>, std::string_view reason);
+HttpResponse makeRefusal(EntryRefusal, const Dialect&);
 // From the coordinator's final word about a call. A whole answer of the target passes with its outcome added.
-HttpResponse makeAnswer(AnswerCaller&&);
+HttpResponse makeAnswer(AnswerCaller&&, const Dialect&);
 
 // What the caller asks for.
 struct CallerRequest {
-    ServiceName service;
+    // Empty when the route decides.
+    std::optional<ServiceName> service;
     TenantName tenant;
+    // The caller's own name for the request, for logs. May be empty.
+    std::string requestId;
     // Only shortens the service's own.
     std::optional<Duration> timeout;
     std::optional<CallId> parent;
--- a/Source/Node/ConfigurationTable.cpp
+++ b/Source/Node/ConfigurationTable.cpp
@@ -35,6 +35,7 @@
     case PlatformErrorCode::Throttled:
     case PlatformErrorCode::NotFound:
     case PlatformErrorCode::Malformed:
+    case PlatformErrorCode::HistoryLost:
         return WriteResult::Unavailable;
     }
     return WriteResult::Unknown;
--- a/Source/Node/ConfigurationTask.cpp
+++ b/Source/Node/ConfigurationTask.cpp
@@ -219,6 +219,9 @@
         fetchFrom(seen.node);
 }
 
+// Targets of this product's own interface have no ids, so there is nothing that a later process could compare.
+void ConfigurationTask::handle(RecordDeparture&& message) { message.done(); }
+
 void ConfigurationTask::fetchFrom(NodeId node)
 {
     Instant now = steadyNow();
--- a/Source/Node/ConfigurationTask.h
+++ b/Source/Node/ConfigurationTask.h
@@ -25,6 +25,7 @@
 
     // --- messages
     void handle(PeerVersion&&);
+    void handle(RecordDeparture&&);
     void handle(ConfigurationFetched&&);
     void handle(ConfigurationFetchFailed&&);
     void handle(ZoneMembersChanged&&);
--- a/Source/Node/EntryTask.cpp
+++ b/Source/Node/EntryTask.cpp
@@ -4,11 +4,15 @@
 #include "Log/Log.h"
 #include "Trace/Trace.h"
 
+#include <algorithm>
+
 namespace Berylport {
 
 namespace {
 
 constexpr std::string_view ownPathPrefix = "/berylport/";
+// Attempts that one call may make, whatever its route says; a message between nodes carries no more.
+constexpr uint32_t maximumAttempts = 9;
 constexpr std::string_view actionPathPrefix = "/berylport/actions/";
 
 SelectionPolicy policyFor(std::string_view name)
@@ -63,6 +67,7 @@
     }),
           makeServerOptions(context.settings.caller))
     , m_timer(context.loop, guarded([this] { wake(); }))
+    , m_split(context.seed ^ 0x5B117)
 {
 }
 
@@ -78,6 +83,8 @@
     // A restarted task has missed what came before.
     m_catalogue = m_context.status.catalogue;
     m_guard = m_context.status.guard;
+    if (m_catalogue->routes)
+        applyLimits(m_catalogue->routes->configuration());
     m_coordinator.updateTargets(m_context.status.targets, steadyNow());
 }
 
@@ -90,12 +97,15 @@
 
 // --- requests
 
-void EntryTask::refuse(const Responder& responder, EntryRefusal refusal)
+void EntryTask::refuse(const Responder& responder, std::string_view requestId, EntryRefusal refusal)
 {
+    logEvent(Event::RequestRejected,
+        { { "request", std::string(requestId) }, { "reason", std::string(toText(refusal)) },
+            { "configuration", std::to_string(m_catalogue->version) } });
     m_context.metrics.add({ .name = "berylport_entry_refusals_total",
         .labelName = "reason",
         .labelValue = std::string(toText(refusal)) });
-    responder.answer(makeRefusal(refusal));
+    responder.answer(makeRefusal(refusal, dialect()));
 }
 
 bool EntryTask::answerOwnPath(const HttpRequest& request, const Responder& responder)
@@ -117,51 +127,81 @@
 {
     if (answerOwnPath(request, responder))
         return;
-    auto caller = readCallerRequest(request);
+    auto caller = dialect().readCaller(request);
     if (!caller) {
-        refuse(responder, caller.error());
+        refuse(responder, {}, caller.error());
         return;
     }
+    const std::string& requestId = caller.value().requestId;
     if (m_guard != GuardState::Confirmed) {
-        refuse(responder, m_guard == GuardState::Isolated ? EntryRefusal::Isolated : EntryRefusal::Unconfirmed);
+        refuse(
+            responder, requestId, m_guard == GuardState::Isolated ? EntryRefusal::Isolated : EntryRefusal::Unconfirmed);
         return;
     }
-    auto definition = m_catalogue->services.find(caller.value().service);
-    if (definition == m_catalogue->services.end()) {
-        refuse(responder, EntryRefusal::UnknownService);
+    auto treatment = findTreatment(caller.value(), request);
+    if (!treatment) {
+        refuse(responder, requestId, treatment.error());
         return;
     }
-    if (definition->second.kind != RequestKind::Patient) {
-        startCall(caller.value(), definition->second, std::move(request), std::move(responder));
+    if (treatment.value().definition.kind != RequestKind::Patient) {
+        startCall(caller.value(), treatment.value(), std::move(request), std::move(responder));
         return;
     }
     if (m_patient)
-        m_patient->accept(definition->second, caller.value(), std::move(request), std::move(responder));
+        m_patient->accept(treatment.value().definition, caller.value(), std::move(request), std::move(responder));
     else
-        refuse(responder, EntryRefusal::PatientUnavailable);
+        refuse(responder, requestId, EntryRefusal::PatientUnavailable);
+}
+
+Result<EntryTask::Treatment, EntryRefusal> EntryTask::findTreatment(
+    const CallerRequest& caller, const HttpRequest& request)
+{
+    if (!m_catalogue->routes) {
+        auto definition = m_catalogue->services.find(caller.service.value_or(ServiceName()));
+        if (definition == m_catalogue->services.end())
+            return EntryRefusal::UnknownService;
+        return Treatment { .definition = definition->second, .objective = definition->second.callerWait, .route = {} };
+    }
+    auto host = findHeader(request.headers, "Host").value_or(std::string_view());
+    const TrafficRoute* route = m_catalogue->routes->find(host, request.target);
+    if (!route)
+        return EntryRefusal::NoRoute;
+    ServiceDefinition definition { .name = m_split.next(*route),
+        .kind = route->kind,
+        .priority = priorityOfRank(route->rank),
+        .callerWait = route->timeout,
+        .retryTokens = std::clamp<uint32_t>(route->maximumAttempts, 1, maximumAttempts) - 1 };
+    return Treatment {
+        .definition = std::move(definition), .objective = route->latencyObjective, .route = route->name
+    };
 }
 
 void EntryTask::startCall(
-    const CallerRequest& request, const ServiceDefinition& definition, HttpRequest http, Responder responder)
+    const CallerRequest& request, const Treatment& treatment, HttpRequest http, Responder responder)
 {
     Instant now = steadyNow();
+    const ServiceDefinition& definition = treatment.definition;
     Duration wait = std::min(definition.callerWait, request.timeout.value_or(definition.callerWait));
     auto parentSpan = findHeader(http.headers, Header::traceParent).value_or(std::string_view());
     auto span = startSpan(*m_context.tracer, "call", parentSpan);
-    span->SetTag("service", request.service.text);
-    removeCallerHeaders(http);
+    span->SetTag("service", definition.name.text);
+    dialect().prepareForward(http, m_context.settings.node.service);
     CallId id { .origin = m_context.self, .sequence = ++m_lastSequence };
     StartCall call { .id = id,
         .definition = definition,
         .tenant = request.tenant,
         .http = std::move(http),
         .deadline = now + wait,
+        .objective = now + treatment.objective,
         .retryTokens = definition.retryTokens,
-        .parent = request.parent };
+        .parent = request.parent,
+        .requestId = request.requestId };
     Caller caller { .responder = std::move(responder),
         .span = std::move(span),
         .arrived = now,
-        .service = request.service,
+        .service = definition.name,
+        .route = treatment.route,
+        .requestId = request.requestId,
         .parent = request.parent };
     if (!request.parent) {
         begin(std::move(call), std::move(caller));
@@ -181,7 +221,7 @@
     m_waitingChildren.erase(it);
     if (!found.allowance) {
         AnswerCaller answer { .id = found.child, .result = CallFailure::Refused, .refusal = found.allowance.error() };
-        child.caller.responder.answer(makeAnswer(std::move(answer)));
+        child.caller.responder.answer(makeAnswer(std::move(answer), dialect()));
         return;
     }
     const ParentAllowance& allowance = found.allowance.value();
@@ -196,6 +236,12 @@
 {
     CallId id = call.id;
     caller.responder.onCallerGone(guarded([this, id] {
+        auto gone = m_callers.find(id);
+        if (gone != m_callers.end()) {
+            logEvent(Event::CallerLeft,
+                { { "request", gone->second.requestId }, { "call", toText(id) },
+                    { "elapsed_ms", std::to_string(toMilliseconds(steadyNow() - gone->second.arrived)) } });
+        }
         CallActions actions;
         m_coordinator.callerGone(id, steadyNow(), actions);
         perform(actions);
@@ -242,7 +288,22 @@
 
 void EntryTask::handle(TargetsChanged&& message) { m_coordinator.updateTargets(message.targets, steadyNow()); }
 
-void EntryTask::handle(CatalogueChanged&& message) { m_catalogue = std::move(message.catalogue); }
+void EntryTask::handle(CatalogueChanged&& message)
+{
+    m_catalogue = std::move(message.catalogue);
+    if (m_catalogue->routes)
+        applyLimits(m_catalogue->routes->configuration());
+}
+
+void EntryTask::applyLimits(const TrafficConfiguration& configuration)
+{
+    m_split.retain(configuration);
+    const CallerLimits& limits = configuration.limits;
+    const CallerSection& settings = m_context.settings.caller;
+    m_server.setLimits(
+        { .headBytes = limits.headerBytes, .bodyBytes = std::min(limits.bodyBytes, settings.maximumBodyBytes) },
+        limits.headerTimeout, limits.idleTimeout);
+}
 
 void EntryTask::handle(MemberGone&& message)
 {
@@ -284,6 +345,7 @@
         m_attemptSpans[attempt.request.id] = std::move(span);
     }
     m_context.metrics.add("berylport_attempts_total");
+    logAttempt(attempt);
     AttemptId id = attempt.request.id;
     if (attempt.target.node == m_context.self)
         sendToOwnTarget(std::move(attempt.request));
@@ -291,6 +353,23 @@
         m_mailbox.post(AttemptNotSent { .id = id });
 }
 
+void EntryTask::logAttempt(const SendAttempt& attempt)
+{
+    const CallRequest& request = attempt.request;
+    const TargetView* view = m_coordinator.routes().route(request.service).selector.view(attempt.target);
+    Instant now = steadyNow();
+    std::string age = "none";
+    if (view && view->reportedAt)
+        age = std::to_string(toMilliseconds(now - *view->reportedAt));
+    logEvent(Event::AttemptSent,
+        { { "request", request.requestId }, { "call", toText(request.id.call) },
+            { "attempt", std::to_string(request.id.attempt) }, { "service", request.service.text },
+            { "node", toText(attempt.target.node) }, { "configuration", std::to_string(m_catalogue->version) },
+            { "outstanding", std::to_string(view ? view->outstanding : 0) },
+            { "reported_load", view ? std::to_string(view->load.running + view->load.queued) : "none" },
+            { "report_age_ms", age }, { "left_ms", std::to_string(toMilliseconds(request.deadline - now)) } });
+}
+
 void EntryTask::sendToOwnTarget(CallRequest request)
 {
     AttemptId id = request.id;
@@ -342,13 +421,28 @@
     m_context.metrics.add(outcomeKey(toText(answer.outcome)));
     MetricKey latency { .name = "berylport_call_seconds", .labelName = "service", .labelValue = caller.service.text };
     m_context.metrics.record(latency, now - caller.arrived, now);
-    if (auto* failure = std::get_if<CallFailure>(&answer.result)) {
-        Event event = answer.outcome == RunOutcome::MayHaveRun ? Event::CallOutcomeUnknown : Event::CallGivenUp;
-        logEvent(event,
-            { { "call", toText(answer.id) }, { "service", caller.service.text },
-                { "outcome", std::string(toText(answer.outcome)) }, { "reason", std::string(toText(*failure)) } });
+    logAnswer(answer, caller, now);
+    caller.responder.answer(makeAnswer(std::move(answer), dialect()));
+}
+
+void EntryTask::logAnswer(const AnswerCaller& answer, const Caller& caller, Instant now)
+{
+    std::string elapsed = std::to_string(toMilliseconds(now - caller.arrived));
+    if (auto* response = std::get_if<HttpResponse>(&answer.result)) {
+        logEvent(Event::CallAnswered,
+            { { "request", caller.requestId }, { "call", toText(answer.id) }, { "service", caller.service.text },
+                { "route", caller.route }, { "status", std::to_string(response->status) },
+                { "attempts", std::to_string(answer.attempts) }, { "elapsed_ms", elapsed } });
+        return;
     }
-    caller.responder.answer(makeAnswer(std::move(answer)));
+    Event event = answer.outcome == RunOutcome::MayHaveRun ? Event::CallOutcomeUnknown : Event::CallGivenUp;
+    logEvent(event,
+        { { "request", caller.requestId }, { "call", toText(answer.id) }, { "service", caller.service.text },
+            { "route", caller.route }, { "outcome", std::string(toText(answer.outcome)) },
+            { "reason", std::string(toText(std::get<CallFailure>(answer.result))) },
+            { "refusal", answer.refusal ? std::string(toText(*answer.refusal)) : "none" },
+            { "attempts", std::to_string(answer.attempts) }, { "elapsed_ms", elapsed },
+            { "retry_after_ms", std::to_string(toMilliseconds(answer.retryAfter)) } });
 }
 
 void EntryTask::wake()
--- a/Source/Node/EntryTask.h
+++ b/Source/Node/EntryTask.h
@@ -34,6 +34,9 @@
         std::unique_ptr<opentracing::Span> span;
         Instant arrived;
         ServiceName service;
+        // Empty for services without routes.
+        std::string route;
+        std::string requestId;
         std::optional<CallId> parent;
         uint32_t tokensFromParent { 0 };
     };
@@ -43,9 +46,19 @@
         Caller caller;
     };
 
+    // How a request may be treated: by its route, or by its service's definition.
+    struct Treatment {
+        ServiceDefinition definition;
+        Duration objective {};
+        std::string route;
+    };
+
+    const Dialect& dialect() const { return *m_context.adapter.dialect; }
     void arrived(HttpRequest, const Endpoint& peer, Responder);
     bool answerOwnPath(const HttpRequest&, const Responder&);
-    void startCall(const CallerRequest&, const ServiceDefinition&, HttpRequest, Responder);
+    Result<Treatment, EntryRefusal> findTreatment(const CallerRequest&, const HttpRequest&);
+    void startCall(const CallerRequest&, const Treatment&, HttpRequest, Responder);
+    void applyLimits(const TrafficConfiguration&);
     void begin(StartCall, Caller);
 
     void handle(AttemptReplied&&);
@@ -65,7 +78,9 @@
     void perform(SendQuery&&);
     void perform(AnswerCaller&&);
     void sendToOwnTarget(CallRequest);
-    void refuse(const Responder&, EntryRefusal);
+    void refuse(const Responder&, std::string_view requestId, EntryRefusal);
+    void logAttempt(const SendAttempt&);
+    void logAnswer(const AnswerCaller&, const Caller&, Instant now);
     void wake();
     void updateStatus();
 
@@ -75,6 +90,7 @@
     CallCoordinator m_coordinator;
     HttpServer m_server;
     Timer m_timer;
+    TrafficSplit m_split;
     CataloguePointer m_catalogue;
     GuardState m_guard { GuardState::Unconfirmed };
     uint64_t m_lastSequence { 0 };
--- a/Source/Node/LinkTask.cpp
+++ b/Source/Node/LinkTask.cpp
@@ -106,7 +106,13 @@
     ConfigurationOffer offer;
     if (m_context.status.configuration)
         offer.delta = m_context.status.configuration->deltaSince(since);
-    offer.isServing = m_context.status.guard == GuardState::Confirmed;
+    auto& status = m_context.status;
+    if (status.document) {
+        offer.delta.version = status.configurationVersion;
+        if (offer.delta.version > since)
+            offer.document = *status.document;
+    }
+    offer.isServing = status.guard == GuardState::Confirmed;
     return offer;
 }
 
@@ -200,6 +206,7 @@
             }
             ports.configuration.post(ConfigurationFetched { .node = node,
                 .delta = std::move(offer.value().delta),
+                .document = std::move(offer.value().document),
                 .isServing = offer.value().isServing,
                 .askedAt = askedAt });
         });
--- a/Source/Node/LocalTarget.cpp
+++ b/Source/Node/LocalTarget.cpp
@@ -33,9 +33,8 @@
 {
 }
 
-void LocalTarget::connect(uint16_t port)
+void LocalTarget::connect(const Endpoint& endpoint)
 {
-    Endpoint endpoint { .address = "127.0.0.1", .port = port };
     TargetClientOptions options { .limits = { .headBytes = 16 * 1024, .bodyBytes = settings.maximumAnswerBytes },
         .connectTime = settings.connectTimeout,
         .maxConnections = settings.maximumConnections };
--- a/Source/Node/LocalTarget.h
+++ b/Source/Node/LocalTarget.h
@@ -45,7 +45,7 @@
     LocalTarget(event_base*, NodeId self, const ServiceName&, const TargetSection&, Instant now);
 
     // The address of the target has changed or is known for the first time.
-    void connect(uint16_t port);
+    void connect(const Endpoint&);
     // Ready only when it has announced so, is not drained by an operator, and its announcement has not lapsed.
     TargetState effectiveState() const;
 
@@ -61,6 +61,7 @@
     bool isDrainedByOperator { false };
     // The target refused a connection since its last announcement.
     bool isRefusing { false };
+    std::string healthPath { "/health" };
     TargetProbe probe;
     bool isProbing { false };
     std::unordered_map<AttemptId, SendHandle> running;
--- a/Source/Node/MembershipTask.cpp
+++ b/Source/Node/MembershipTask.cpp
@@ -223,6 +223,7 @@
 
 void MembershipTask::updateMetrics()
 {
+    m_context.status.isDiscoveryDone |= m_service.hasJoined();
     const GossipCounters& counters = m_socket.counters();
     m_context.metrics.set("berylport_members", static_cast<double>(m_service.table().presentCount() + 1));
     m_context.metrics.set("berylport_gossip_sent_bytes", static_cast<double>(counters.sentBytes));
--- a/Source/Node/NodeContext.h
+++ b/Source/Node/NodeContext.h
@@ -4,6 +4,7 @@
 #include "Base/Base.h"
 #include "Loop/Loop.h"
 #include "Metrics/Metrics.h"
+#include "Node/FleetPorts.h"
 #include "Node/NodeMessages.h"
 #include "Settings/Settings.h"
 
@@ -18,12 +19,16 @@
     bool isDraining { false };
     bool isStoreReachable { false };
     bool isCoordinator { false };
+    // This node has exchanged members with another, or knows that there is none.
+    bool isDiscoveryDone { false };
     uint64_t configurationVersion { 0 };
     std::vector<MemberRecord> members;
     std::vector<TargetRecord> targets;
     CataloguePointer catalogue;
     // Owned by the configuration task; null until it runs.
     const ConfigurationStore* configuration { nullptr };
+    // The configuration in force as its source wrote it; null when there is none or it comes from the own table.
+    std::shared_ptr<const std::string> document;
     Instant startedAt;
     // In-flight work by task; a drain is complete when all are zero.
     size_t entryCalls { 0 };
@@ -34,6 +39,7 @@
 struct NodeContext {
     EventLoop& loop;
     const NodeSettings& settings;
+    const NodeAdapter& adapter;
     NodeId self;
     // Drawn at random at the start; parts of the node derive their own seeds from it.
     uint64_t seed { 0 };
--- a/Source/Node/NodeDaemon.cpp
+++ b/Source/Node/NodeDaemon.cpp
@@ -3,17 +3,22 @@
 
 #include "Log/Log.h"
 #include "Node/ConfigurationTask.h"
+#include "Node/DirectoryTask.h"
 #include "Node/EntryTask.h"
+#include "Node/HealthTask.h"
 #include "Node/LinkTask.h"
 #include "Node/MembershipTask.h"
 #include "Node/OperatorTask.h"
+#include "Node/OwnDialect.h"
 #include "Node/PatientTask.h"
 #include "Node/TargetTask.h"
 #include "Trace/Trace.h"
 
 #include <csignal>
+#include <cxxopts.hpp>
 #include <iostream>
 #include <random>
+#include <sys/stat.h>
 
 namespace Berylport {
 
@@ -22,6 +27,37 @@
 constexpr Duration drainCheckInterval = std::chrono::milliseconds(50);
 // After the last work is done, answers still in socket buffers and queries of peers get this long.
 constexpr Duration lingerTime = std::chrono::milliseconds(500);
+// The last answers must be on their way before the process is killed.
+constexpr Duration killMargin = std::chrono::milliseconds(300);
+// A line is visible this long after its event at most.
+constexpr Duration logFlushInterval = std::chrono::milliseconds(200);
+// A change of the settings file without a signal is noticed within this time.
+constexpr Duration settingsInterval = std::chrono::seconds(1);
+constexpr int exitUsage = 2;
+
+// Reads the file when its time of change or size differs from the last look.
+SettingsReader makeFileReader(const std::string& path)
+{
+    struct Look {
+        timespec changed {};
+        off_t size { 0 };
+    };
+    auto lookAt = [path]() {
+        struct stat info { };
+        if (stat(path.c_str(), &info))
+            return Look {};
+        return Look { .changed = info.st_mtim, .size = info.st_size };
+    };
+    return [path, lookAt, last = lookAt()]() mutable -> std::optional<Result<NodeSettings, SettingsErrors>> {
+        Look now = lookAt();
+        bool isSame = now.size == last.size && now.changed.tv_sec == last.changed.tv_sec
+            && now.changed.tv_nsec == last.changed.tv_nsec;
+        if (isSame)
+            return std::nullopt;
+        last = now;
+        return readSettingsFile(path);
+    };
+}
 
 uint64_t drawSeed()
 {
@@ -33,11 +69,20 @@
 
 class NodeDaemon {
 public:
-    explicit NodeDaemon(const NodeSettings& settings)
-        : m_context { .loop = m_loop, .settings = settings, .self = NodeId { drawSeed() }, .seed = drawSeed() }
+    NodeDaemon(const NodeSettings& settings, NodeAdapter adapter, SettingsReader reader)
+        : m_settings(settings)
+        , m_adapter(std::move(adapter))
+        , m_readSettings(std::move(reader))
+        , m_context { .loop = m_loop,
+            .settings = m_settings,
+            .adapter = m_adapter,
+            .self = NodeId { drawSeed() },
+            .seed = drawSeed() }
         , m_root(m_loop, "node", makeOptions(), makeChildren())
-        , m_signals(m_loop, { SIGTERM, SIGINT }, [this](int) { signalled(); })
+        , m_signals(m_loop, { SIGTERM, SIGINT, SIGHUP }, [this](int signal) { signalled(signal); })
         , m_drainTimer(m_loop, [this] { checkDrain(); })
+        , m_logTimer(m_loop, [] { flushLog(); })
+        , m_settingsTimer(m_loop, [this] { reloadSettings(); })
     {
         m_context.status.startedAt = steadyNow();
         m_context.status.catalogue = std::make_shared<ServiceCatalogue>();
@@ -53,6 +98,9 @@
         }
         m_context.tracer = makeJsonTracer(*sink, m_context.seed, toText(m_context.self));
         try {
+            m_logTimer.startPeriodic(logFlushInterval);
+            if (m_readSettings)
+                m_settingsTimer.startPeriodic(settingsInterval);
             m_root.start();
             const ListenSection& listen = m_context.settings.listen;
             logEvent(Event::NodeStarted,
@@ -65,6 +113,7 @@
         }
         m_root.stop();
         logEvent(Event::NodeStopped, { { "clean", m_exit == NodeExit::Clean ? "yes" : "no" } });
+        flushLog();
         return m_exit;
     }
 
@@ -89,6 +138,11 @@
         children.push_back(
             { .name = "entry", .create = [this] { return std::make_unique<EntryTask>(m_context, m_patient); } });
         children.push_back(makeChild<MembershipTask>("membership"));
+        children.push_back(makeChild<HealthTask>("health"));
+        if (m_adapter.connectStore) {
+            children.push_back(makeChild<DirectoryTask>("directory"));
+            return children;
+        }
         children.push_back(makeChild<ConfigurationTask>("configuration"));
         children.push_back({ .name = "patient",
             .create = [this] { return std::make_unique<PatientTask>(m_context, m_patient, m_actions); } });
@@ -112,14 +166,22 @@
         }
     }
 
-    void signalled()
+    void signalled(int signal)
     {
+        if (signal == SIGHUP) {
+            reloadSettings();
+            return;
+        }
         if (m_context.status.isDraining) {
             cutShort("second signal");
             return;
         }
         m_context.status.isDraining = true;
-        m_drainDeadline = steadyNow() + m_context.settings.shutdown.drainLimit;
+        const ShutdownSection& shutdown = m_settings.shutdown;
+        m_drainStart = steadyNow();
+        m_drainDeadline = m_drainStart + shutdown.drainLimit;
+        if (shutdown.killTime > killMargin)
+            m_drainDeadline = std::min(m_drainDeadline, m_drainStart + shutdown.killTime - killMargin);
         logEvent(Event::NodeDraining,
             { { "entry_calls", std::to_string(m_context.status.entryCalls) },
                 { "admitted_calls", std::to_string(m_context.status.admittedCalls) } });
@@ -135,7 +197,9 @@
     {
         Instant now = steadyNow();
         const NodeStatus& status = m_context.status;
-        bool isIdle = !status.admittedCalls && !status.runningActions && (!m_isEntryClosing || !status.entryCalls);
+        bool isNoticed = now - m_drainStart >= m_settings.shutdown.noticeTime;
+        bool isIdle
+            = isNoticed && !status.admittedCalls && !status.runningActions && (!m_isEntryClosing || !status.entryCalls);
         if (!isIdle)
             m_idleSince.reset();
         else if (!m_idleSince)
@@ -160,13 +224,44 @@
         m_loop.stop();
     }
 
+    // What may change while the node runs; addresses and the rest hold until the next start.
+    void reloadSettings()
+    {
+        auto read = m_readSettings ? m_readSettings() : std::nullopt;
+        if (!read)
+            return;
+        if (!read->has_value()) {
+            if (!std::exchange(m_areSettingsFaulty, true))
+                logEvent(Event::SettingsReloaded,
+                    { { "outcome", "rejected" }, { "reason", toText(read->error().front()) } });
+            return;
+        }
+        m_areSettingsFaulty = false;
+        const NodeSettings& fresh = read->value();
+        bool isSame = fresh.node.service == m_settings.node.service && fresh.log.level == m_settings.log.level;
+        if (isSame)
+            return;
+        m_settings.node.service = fresh.node.service;
+        m_settings.log.level = fresh.log.level;
+        setLogLevel(parseLevel(fresh.log.level).value_or(Level::Info));
+        logEvent(Event::SettingsReloaded,
+            { { "outcome", "applied" }, { "service", m_settings.node.service }, { "level", m_settings.log.level } });
+    }
+
     EventLoop m_loop;
+    NodeSettings m_settings;
+    NodeAdapter m_adapter;
+    SettingsReader m_readSettings;
+    bool m_areSettingsFaulty { false };
     NodeContext m_context;
     PatientGate* m_patient { nullptr };
     ActionLookup* m_actions { nullptr };
     Supervisor m_root;
     SignalWatcher m_signals;
     Timer m_drainTimer;
+    Timer m_logTimer;
+    Timer m_settingsTimer;
+    Instant m_drainStart;
     Instant m_drainDeadline;
     bool m_isEntryClosing { false };
     std::optional<Instant> m_idleSince;
@@ -175,6 +270,48 @@
 
 } // namespace
 
-NodeExit runNode(const NodeSettings& settings) { return NodeDaemon(settings).run(); }
+NodeExit runNode(const NodeSettings& settings, NodeAdapter adapter, SettingsReader reader)
+{
+    return NodeDaemon(settings, std::move(adapter), std::move(reader)).run();
+}
+
+NodeAdapter makeOwnAdapter() { return { .dialect = std::make_shared<OwnDialect>(), .connectStore = nullptr }; }
+
+int runNodeProgram(int argc, char** argv, const NodeProgram& program)
+{
+    cxxopts::Options options(program.name, program.purpose);
+    options.add_options()("settings", "settings file (docs/settings.md)", cxxopts::value<std::string>())(
+        "check", "check the settings file and exit")("help", "show this help");
+    auto usage = [&](std::string_view text) {
+        std::cerr << program.name << ": " << text << '\n';
+        return exitUsage;
+    };
+    try {
+        auto arguments = options.parse(argc, argv);
+        if (arguments.count("help")) {
+            std::cout << options.help() << '\n';
+            return 0;
+        }
+        if (!arguments.count("settings"))
+            return usage("--settings FILE is required; see --help");
+        auto path = arguments["settings"].as<std::string>();
+        auto settings = readSettingsFile(path);
+        if (!settings) {
+            for (auto& it : settings.error())
+                usage(toText(it));
+            return exitUsage;
+        }
+        if (arguments.count("check")) {
+            std::cout << "settings are valid\n";
+            return 0;
+        }
+        const LogSection& log = settings.value().log;
+        startLog({ .level = parseLevel(log.level).value_or(Level::Info), .file = log.file, .isGathered = true });
+        auto exit = runNode(settings.value(), program.adapter, makeFileReader(path));
+        return static_cast<int>(exit);
+    } catch (const std::exception& ex) {
+        return usage(ex.what());
+    }
+}
 
 } // namespace Berylport
--- a/Source/Node/NodeDaemon.h
+++ b/Source/Node/NodeDaemon.h
@@ -3,6 +3,10 @@
 
 #include "Node/NodeContext.h"
 
+#include <functional>
+#include <optional>
+#include <string>
+
 namespace Berylport {
 
 enum class NodeExit : uint8_t {
@@ -14,7 +18,22 @@
     CutShort = 3,
 };
 
-// Runs one node until it ends. The settings must outlive it.
-NodeExit runNode(const NodeSettings&);
+// The settings when they may have changed since the last call, nothing when they have not.
+using SettingsReader = std::function<std::optional<Result<NodeSettings, SettingsErrors>>()>;
+
+// Runs one node until it ends. The reader is asked on SIGHUP and now and then.
+NodeExit runNode(const NodeSettings&, NodeAdapter, SettingsReader);
+
+// The product's own dialect and table.
+NodeAdapter makeOwnAdapter();
+
+struct NodeProgram {
+    std::string name;
+    std::string purpose;
+    NodeAdapter adapter;
+};
+
+// The main function of a node's program: arguments, settings, log, node. Returns the exit status.
+int runNodeProgram(int argc, char** argv, const NodeProgram&);
 
 } // namespace Berylport
--- a/Source/Node/NodeMessages.h
+++ b/Source/Node/NodeMessages.h
@@ -5,8 +5,10 @@
 #include "Base/Base.h"
 #include "Calls/CallActions.h"
 #include "Configuration/Configuration.h"
+#include "Node/AnnouncementOrder.h"
 #include "Node/Port.h"
 #include "Patient/Patient.h"
+#include "Traffic/Traffic.h"
 
 #include <functional>
 #include <map>
@@ -21,6 +23,8 @@
 struct ServiceCatalogue {
     uint64_t version { 0 };
     std::map<ServiceName, ServiceDefinition> services;
+    // Set when operators configure routes; a request's route then decides its service and how it may be treated.
+    std::shared_ptr<const RouteFinder> routes;
 };
 using CataloguePointer = std::shared_ptr<const ServiceCatalogue>;
 
@@ -57,6 +61,10 @@
 struct MemberGone {
     NodeId node;
 };
+// An earlier process of this node had acknowledged that this target leaves.
+struct DepartureRestored {
+    TargetIncarnation departed;
+};
 struct ServingChanged {
     GuardState state { GuardState::Unconfirmed };
 };
@@ -111,7 +119,7 @@
 };
 
 using TargetMessage = std::variant<OfferCall, CancelCall, QueryCall, LinkOpened, LinkClosed, LinkConfirmed, FindParent,
-    ReturnRetryTokens, DrainTarget, CatalogueChanged, ServingChanged, BeginDrain>;
+    ReturnRetryTokens, DrainTarget, CatalogueChanged, ServingChanged, DepartureRestored, BeginDrain>;
 
 // --- to the link task
 
@@ -183,6 +191,7 @@
 struct ConfigurationFetched {
     NodeId node;
     ConfigurationDelta delta;
+    std::string document;
     // The peer itself serves, so it holds at least what was accepted.
     bool isServing { false };
     Instant askedAt;
@@ -224,7 +233,13 @@
     std::function<void(bool isDone)> done;
 };
 
-using ConfigurationMessage = std::variant<PeerVersion, ConfigurationFetched, ConfigurationFetchFailed,
+// Makes it durable that a target leaves, so that a later process of this node knows it.
+struct RecordDeparture {
+    TargetIncarnation departed;
+    std::function<void()> done;
+};
+
+using ConfigurationMessage = std::variant<PeerVersion, RecordDeparture, ConfigurationFetched, ConfigurationFetchFailed,
     ZoneMembersChanged, ZoneMemberLeft, TakenForDead, ContactLost, OperatorChange, ListZones, RetireZone, BeginDrain>;
 
 // --- to the patient task
--- /dev/null
+++ b/Source/Node/OwnDialect.cpp
@@ -0,0 +1,87 @@
+#include "Node/OwnDialect.h"
+
+#include <charconv>
+
+namespace Berylport {
+
+namespace {
+
+constexpr std::string_view announcePath = "/announce";
+constexpr std::string_view withdrawPrefix = "/announce?service=";
+
+// "running,waiting,slots" with the VM's slowness in percent as an optional fourth figure.
+std::optional<ReportedLoad> parseLoad(std::string_view text)
+{
+    ReportedLoad load;
+    uint16_t* const members[] = { &load.running, &load.waiting, &load.slots, &load.slownessPercent };
+    size_t count = 0;
+    while (count < std::size(members)) {
+        std::string_view item = text.substr(0, text.find(','));
+        auto [end, ec] = std::from_chars(item.data(), item.data() + item.size(), *members[count]);
+        if (ec != std::errc() || end != item.data() + item.size())
+            return std::nullopt;
+        ++count;
+        if (item.size() == text.size())
+            break;
+        text.remove_prefix(item.size() + 1);
+    }
+    bool hasAllNeeded = count >= 3 && load.slots;
+    return hasAllNeeded ? std::optional(load) : std::nullopt;
+}
+
+} // namespace
+
+Result<CallerRequest, EntryRefusal> OwnDialect::readCaller(const HttpRequest& request) const
+{
+    return readCallerRequest(request);
+}
+
+void OwnDialect::prepareForward(HttpRequest& request, std::string_view) const { removeCallerHeaders(request); }
+
+void OwnDialect::prepareForTarget(HttpRequest& request, const TargetHandover& handover) const
+{
+    setHeader(
+        request.headers, Header::deadline, std::to_string(std::max<int64_t>(0, toMilliseconds(handover.remaining))));
+    setHeader(request.headers, Header::parent, toText(handover.call));
+}
+
+TargetReport OwnDialect::readTargetAnswer(const HttpResponse& response) const
+{
+    TargetReport report { .hasNotRun = findHeader(response.headers, Header::notRun).has_value() };
+    if (auto load = findHeader(response.headers, Header::load))
+        report.load = parseLoad(*load);
+    return report;
+}
+
+// Retry-After has whole seconds only; rounding down would bring the caller back too early.
+void OwnDialect::setRetryAfter(HttpResponse& response, Duration wait) const
+{
+    int64_t milliseconds = std::max<int64_t>(1, std::chrono::ceil<std::chrono::milliseconds>(wait).count());
+    int64_t seconds = (milliseconds + 999) / 1000;
+    setHeader(response.headers, Header::retryAfter, std::to_string(seconds));
+    setHeader(response.headers, Header::retryAfterMilliseconds, std::to_string(milliseconds));
+}
+
+TargetMessageRead OwnDialect::readTargetMessage(const HttpRequest& request) const
+{
+    std::string_view path = request.target;
+    if (request.method == "DELETE" && path.starts_with(withdrawPrefix))
+        return TargetWithdrawal { .instance = {}, .service = ServiceName(path.substr(withdrawPrefix.size())) };
+    if (path != announcePath)
+        return NoAnnouncement {};
+    if (request.method != "POST")
+        return AnnouncementError::WrongMethod;
+    auto announcement = parseAnnouncement(request.body);
+    if (!announcement)
+        return announcement.error();
+    return announcement.value();
+}
+
+HttpResponse OwnDialect::acknowledge(TargetState state) const
+{
+    return { .status = 200,
+        .headers = { { .name = "Content-Type", .value = "text/plain" } },
+        .body = std::string(toText(state)) + "\n" };
+}
+
+} // namespace Berylport
--- /dev/null
+++ b/Source/Node/OwnDialect.h
@@ -0,0 +1,19 @@
+// The product's own headers and announcements, as docs/callers.md and docs/targets.md describe them.
+#pragma once
+
+#include "Node/Dialect.h"
+
+namespace Berylport {
+
+class OwnDialect final : public Dialect {
+public:
+    Result<CallerRequest, EntryRefusal> readCaller(const HttpRequest&) const override;
+    void prepareForward(HttpRequest&, std::string_view originService) const override;
+    void prepareForTarget(HttpRequest&, const TargetHandover&) const override;
+    TargetReport readTargetAnswer(const HttpResponse&) const override;
+    void setRetryAfter(HttpResponse&, Duration) const override;
+    TargetMessageRead readTargetMessage(const HttpRequest&) const override;
+    HttpResponse acknowledge(TargetState) const override;
+};
+
+} // namespace Berylport
--- a/Source/Node/PatientTask.cpp
+++ b/Source/Node/PatientTask.cpp
@@ -1,6 +1,8 @@
 // Joins the patient decisions with the stores, the leases and the call path.
 #include "Node/PatientTask.h"
 
+#include "Node/OwnDialect.h"
+
 #include "Log/Log.h"
 
 #include <chrono>
@@ -34,6 +36,15 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
 }
 
+// Patient actions are part of the product's own interface only.
+HttpResponse makeUnavailable(std::optional<RunOutcome> outcome, std::string_view reason, Duration retryAfter)
+{
+    HttpResponse response = makeSystemAnswer(503, outcome, reason);
+    if (retryAfter > Duration::zero())
+        OwnDialect().setRetryAfter(response, retryAfter);
+    return response;
+}
+
 HttpResponse answerFor(const AcceptResult& result)
 {
     return std::visit(
@@ -50,10 +61,10 @@
                 return makeSystemAnswer(400, RunOutcome::NotRun, "invalid-idempotency-key");
             },
             [](const ActionRefused& it) {
-                return makeSystemAnswer(503, RunOutcome::NotRun, toText(it.reason), it.retryAfter);
+                return makeUnavailable(RunOutcome::NotRun, toText(it.reason), it.retryAfter);
             },
             [](const ActionAcceptanceUnknown& it) {
-                return makeSystemAnswer(503, RunOutcome::MayHaveRun, "acceptance-unknown", it.retryAfter);
+                return makeUnavailable(RunOutcome::MayHaveRun, "acceptance-unknown", it.retryAfter);
             },
         },
         result);
@@ -75,7 +86,7 @@
                           },
                           [](const ActionNotFound&) { return makeSystemAnswer(404, std::nullopt, "unknown-action"); },
                           [](const ActionStatusUnavailable& it) {
-                              return makeSystemAnswer(503, std::nullopt, "store-unavailable", it.retryAfter);
+                              return makeUnavailable(std::nullopt, "store-unavailable", it.retryAfter);
                           },
                       },
         result);
--- a/Source/Node/TargetTask.cpp
+++ b/Source/Node/TargetTask.cpp
@@ -3,6 +3,7 @@
 
 #include "Log/Log.h"
 #include "Node/CallerAnswers.h"
+#include "Node/HealthTask.h"
 #include "Trace/Trace.h"
 
 namespace Berylport {
@@ -17,6 +18,10 @@
 constexpr Duration probeCpu = std::chrono::microseconds(100);
 constexpr Duration probeTimeout = std::chrono::milliseconds(500);
 
+// A target waits about a second for the answer to its announcement. A store that takes longer than this must not cost
+// the acknowledgement; this process enforces the departure in any case.
+constexpr Duration departureRecordLimit = std::chrono::milliseconds(700);
+
 HttpResponse makeText(uint16_t status, std::string_view text)
 {
     return { .status = status,
@@ -106,7 +111,7 @@
         target->admission.linkOpened(it);
     auto definition = m_catalogue->services.find(service);
     if (definition != m_catalogue->services.end())
-        target->admission.setDefinition(definition->second);
+        applyDefinition(*target, definition->second);
     target->admission.setConfirmed(m_context.status.guard == GuardState::Confirmed);
     if (m_isDraining) {
         AdmissionActions actions;
@@ -249,7 +254,18 @@
     m_catalogue = std::move(message.catalogue);
     for (auto& [service, definition] : m_catalogue->services) {
         if (LocalTarget* target = find(service))
-            target->admission.setDefinition(definition);
+            applyDefinition(*target, definition);
+    }
+}
+
+void TargetTask::applyDefinition(LocalTarget& target, const ServiceDefinition& definition)
+{
+    target.admission.setDefinition(definition);
+    if (!m_catalogue->routes)
+        return;
+    for (auto& it : m_catalogue->routes->configuration().services) {
+        if (it.name == target.service)
+            target.healthPath = it.healthPath;
     }
 }
 
@@ -270,63 +286,140 @@
 void TargetTask::localRequest(HttpRequest request, const Endpoint&, Responder responder)
 {
     if (request.target == "/metrics" && request.method == "GET") {
-        HttpResponse page = makeText(200, m_context.metrics.textPage(steadyNow()));
-        setHeader(page.headers, "Content-Type", "text/plain; version=0.0.4");
-        responder.answer(std::move(page));
+        responder.answer(makeMeasuresPage(m_context.metrics));
         return;
     }
-    if (request.method == "DELETE" && request.target.starts_with("/announce"))
-        withdraw(request, responder);
-    else if (request.target != "/announce")
-        responder.answer(makeText(404, "only /announce and /metrics are here"));
-    else if (request.method == "POST")
-        announce(request, responder);
-    else
-        responder.answer(makeText(405, "POST announces a target, DELETE withdraws it"));
+    std::visit([&](auto&& it) { targetMessage(std::forward<decltype(it)>(it), responder); },
+        dialect().readTargetMessage(request));
+}
+
+void TargetTask::targetMessage(NoAnnouncement, const Responder& responder)
+{
+    responder.answer(makeText(404, "only announcements and /metrics are here"));
+}
+
+void TargetTask::targetMessage(AnnouncementError ec, const Responder& responder)
+{
+    m_context.metrics.add({ .name = "berylport_announcements_rejected_total",
+        .labelName = "reason",
+        .labelValue = std::string(toText(ec)) });
+    logEvent(Event::AnnouncementRejected, { { "reason", std::string(toText(ec)) } });
+    responder.answer(makeText(ec == AnnouncementError::WrongMethod ? 405 : 400, toText(ec)));
 }
 
-void TargetTask::announce(const HttpRequest& request, const Responder& responder)
+void TargetTask::targetMessage(TargetAnnouncement&& announcement, const Responder& responder)
 {
-    auto announcement = parseAnnouncement(request.body);
-    if (!announcement) {
-        responder.answer(makeText(400, toText(announcement.error())));
+    Instant now = steadyNow();
+    auto news = m_order.judge(announcement, now);
+    if (news == AnnouncementNews::Departed) {
+        // Its leaving is known already; saying so again is no news, and it must not be used again.
+        responder.answer(dialect().acknowledge(TargetState::Draining));
+        return;
+    }
+    if (news == AnnouncementNews::Stale) {
+        m_context.metrics.add(
+            { .name = "berylport_announcements_rejected_total", .labelName = "reason", .labelValue = "stale" });
+        logEvent(Event::AnnouncementRejected,
+            { { "reason", "stale" }, { "instance", announcement.instance },
+                { "sequence", std::to_string(announcement.sequence) },
+                { "current", m_order.current() ? m_order.current()->instance : "none" } });
+        responder.answer(makeText(409, "a later announcement is known"));
         return;
     }
-    LocalTarget& target = findOrCreate(announcement.value().service);
+    LocalTarget& target = findOrCreate(announcement.service);
     if (!target.announcement) {
         logEvent(Event::TargetAnnounced,
-            { { "service", target.service.text }, { "port", std::to_string(announcement.value().port) } });
+            { { "service", target.service.text }, { "instance", announcement.instance },
+                { "endpoint", toText(announcement.endpoint) } });
+    }
+    applyAnnouncement(target, announcement, now);
+    if (!announcement.instance.empty())
+        endOthers(target);
+    if (announcement.state != TargetState::Draining || announcement.instance.empty()) {
+        responder.answer(dialect().acknowledge(target.effectiveState()));
+        return;
     }
-    applyAnnouncement(target, announcement.value(), steadyNow());
-    responder.answer(makeText(200, toText(target.effectiveState())));
+    if (auto departed = m_order.withdraw(announcement.instance))
+        acknowledgeDeparture(*departed, responder);
 }
 
-void TargetTask::withdraw(const HttpRequest& request, const Responder& responder)
+void TargetTask::targetMessage(TargetWithdrawal&& withdrawal, const Responder& responder)
 {
-    // A DELETE has no body, so the service is in the query.
-    constexpr std::string_view prefix = "/announce?service=";
-    std::string_view path = request.target;
-    LocalTarget* target = path.starts_with(prefix) ? find(ServiceName(path.substr(prefix.size()))) : nullptr;
-    if (!target || !target->announcement) {
-        responder.answer(makeText(404, "no target of that service is announced"));
+    auto departed = withdrawal.instance.empty() ? std::nullopt : m_order.withdraw(withdrawal.instance);
+    LocalTarget* target = withdrawal.instance.empty() ? find(withdrawal.service) : nullptr;
+    for (auto& [service, it] : m_targets) {
+        if (departed && it->announcement && it->announcement->instance == withdrawal.instance)
+            target = it.get();
+    }
+    if (target && target->announcement) {
+        target->announcement->state = TargetState::Draining;
+        stateChanged(*target);
+    }
+    if (departed) {
+        acknowledgeDeparture(*departed, responder);
         return;
     }
-    target->announcement->state = TargetState::Draining;
-    stateChanged(*target);
-    responder.answer(makeText(200, "draining"));
+    if (!withdrawal.instance.empty() && m_order.hasDeparted(withdrawal.instance))
+        responder.answer(dialect().acknowledge(TargetState::Draining));
+    else if (target && target->announcement)
+        responder.answer(dialect().acknowledge(TargetState::Draining));
+    else
+        responder.answer(makeText(404, "no such target is announced"));
+}
+
+void TargetTask::acknowledgeDeparture(const TargetIncarnation& departed, const Responder& responder)
+{
+    logEvent(Event::TargetDeparted, { { "instance", departed.instance } });
+    auto it = m_acknowledgements.insert(
+        m_acknowledgements.end(), { .responder = responder, .deadline = steadyNow() + departureRecordLimit });
+    auto done = [this, responder] {
+        responder.answer(dialect().acknowledge(TargetState::Draining));
+        std::erase_if(m_acknowledgements, [](auto& pending) { return !pending.responder.isOpen(); });
+    };
+    if (!m_context.ports.configuration.post(RecordDeparture { .departed = departed, .done = guarded(done) })) {
+        m_acknowledgements.erase(it);
+        responder.answer(dialect().acknowledge(TargetState::Draining));
+    }
+}
+
+void TargetTask::endOthers(const LocalTarget& present)
+{
+    for (auto& [service, target] : m_targets) {
+        if (target.get() == &present || !target->announcement || target->announcement->instance.empty())
+            continue;
+        target->announcement.reset();
+        loseRunning(*target, LossReason::TargetClosed);
+        stateChanged(*target);
+    }
+}
+
+void TargetTask::handle(DepartureRestored&& message)
+{
+    logEvent(Event::TargetDeparted, { { "instance", message.departed.instance }, { "source", "store" } });
+    std::string instance = message.departed.instance;
+    m_order.restoreDeparture(std::move(message.departed));
+    for (auto& [service, target] : m_targets) {
+        if (target->announcement && m_order.hasDeparted(target->announcement->instance)) {
+            target->announcement->state = TargetState::Draining;
+            stateChanged(*target);
+        }
+    }
 }
 
 void TargetTask::applyAnnouncement(LocalTarget& target, const TargetAnnouncement& announcement, Instant now)
 {
     TargetState before = target.effectiveState();
-    bool isOtherProcess = !target.announcement || target.announcement->port != announcement.port;
+    bool isOtherProcess = !target.announcement || target.announcement->endpoint != announcement.endpoint
+        || target.announcement->instance != announcement.instance
+        || target.announcement->startedAtMilliseconds != announcement.startedAtMilliseconds;
     bool hasOtherSlots = !target.announcement || target.announcement->slots != announcement.slots;
     target.announcement = announcement;
     target.announcedAt = now;
     target.isRefusing = false;
     if (isOtherProcess) {
         loseRunning(target, LossReason::TargetClosed);
-        target.connect(announcement.port);
+        target.connect(announcement.endpoint);
+        target.admission.setColdUntil(now + announcement.coldFor);
     }
     if (hasOtherSlots) {
         AdmissionActions actions;
@@ -386,9 +479,16 @@
 {
     Instant now = steadyNow();
     HttpRequest http = std::move(start.http);
-    setHeader(
-        http.headers, Header::deadline, std::to_string(std::max<int64_t>(0, toMilliseconds(start.deadline - now))));
-    setHeader(http.headers, Header::parent, toText(start.id.call));
+    TargetHandover handover { .call = start.id.call, .remaining = start.deadline - now };
+    if (target.announcement)
+        handover.instance = target.announcement->instance;
+    dialect().prepareForTarget(http, handover);
+    logEvent(Event::AdmissionStarted,
+        { { "request", start.requestId }, { "call", toText(start.id.call) },
+            { "attempt", std::to_string(start.id.attempt) }, { "service", target.service.text },
+            { "instance", std::string(handover.instance) },
+            { "running", std::to_string(target.admission.load(now).running) },
+            { "left_ms", std::to_string(toMilliseconds(handover.remaining)) } });
 
     AttemptId id = start.id;
     if (!target.client) {
@@ -396,6 +496,15 @@
         return;
     }
     SendOptions options { .deadline = start.deadline, .isIdempotent = start.kind == RequestKind::Idempotent };
+    if (!start.requestId.empty()) {
+        options.isOwnAnswer = [this, requestId = start.requestId](const HttpResponse& response) {
+            auto report = dialect().readTargetAnswer(response);
+            bool isOwn = report.requestId.empty() || report.requestId == requestId;
+            if (!isOwn)
+                m_context.metrics.add("berylport_foreign_answers_total");
+            return isOwn;
+        };
+    }
     target.running[id] = target.client->send(std::move(http), options,
         guarded([this, &target, id](SendResult result) { targetFinished(target, id, std::move(result)); }));
 }
@@ -441,8 +550,18 @@
     Instant now = steadyNow();
     target.running.erase(id);
     AdmissionActions actions;
+    logTargetAnswer(target, id, result);
     if (auto* response = std::get_if<HttpResponse>(&result)) {
         m_budget.noteCallBytes(bytesOf(*response), now);
+        auto report = dialect().readTargetAnswer(*response);
+        if (report.load)
+            target.admission.noteReportedLoad(now, *report.load);
+        if (report.hasNotRun) {
+            target.admission.targetRefused(now, id, actions);
+            perform(target, actions);
+            updateStatus();
+            return;
+        }
         if (response->status >= 500)
             target.probe.noteCallFailed(now);
         else
@@ -464,6 +583,17 @@
     updateStatus();
 }
 
+void TargetTask::logTargetAnswer(const LocalTarget& target, const AttemptId& id, const SendResult& result)
+{
+    std::string status = std::visit(Overloaded { [](const HttpResponse& it) { return std::to_string(it.status); },
+                                        [](const Lost& it) { return std::string(toText(it.reason)); },
+                                        [](const NotSent& it) { return std::string(toText(it.reason)); } },
+        result);
+    logEvent(Event::TargetAnswered,
+        { { "call", toText(id.call) }, { "attempt", std::to_string(id.attempt) }, { "service", target.service.text },
+            { "status", status } });
+}
+
 void TargetTask::loseRunning(LocalTarget& target, LossReason reason)
 {
     auto running = std::exchange(target.running, {});
@@ -499,12 +629,16 @@
     target.probe.noteReadStarted(now);
     target.isProbing = true;
     m_context.metrics.add("berylport_measuring_bytes_total", probeBytes);
-    HttpRequest request { .method = "GET", .target = "/health" };
+    HttpRequest request { .method = "GET", .target = target.healthPath };
     target.client->send(std::move(request), { .deadline = now + probeTimeout, .isIdempotent = true },
         guarded([this, &target](SendResult result) {
             target.isProbing = false;
             auto* response = std::get_if<HttpResponse>(&result);
             HealthResult health = HealthResult::Unreadable;
+            if (response) {
+                if (auto report = dialect().readTargetAnswer(*response); report.load)
+                    target.admission.noteReportedLoad(steadyNow(), *report.load);
+            }
             if (response)
                 health = response->status == 200 ? HealthResult::Good : HealthResult::Bad;
             target.probe.noteHealth(health, steadyNow());
@@ -524,6 +658,12 @@
         probeTargets(now);
     }
     Instant next = m_nextCheck;
+    while (!m_acknowledgements.empty() && m_acknowledgements.front().deadline <= now) {
+        m_acknowledgements.front().responder.answer(dialect().acknowledge(TargetState::Draining));
+        m_acknowledgements.pop_front();
+    }
+    if (!m_acknowledgements.empty())
+        next = std::min(next, m_acknowledgements.front().deadline);
     for (auto& [service, target] : m_targets) {
         if (auto due = target->admission.nextWake())
             next = std::min(next, *due);
--- a/Source/Node/TargetTask.h
+++ b/Source/Node/TargetTask.h
@@ -7,6 +7,7 @@
 #include "Node/LocalTarget.h"
 #include "Node/NodeContext.h"
 
+#include <list>
 #include <map>
 
 namespace Berylport {
@@ -20,6 +21,13 @@
     void stop() noexcept override;
 
 private:
+    struct PendingAcknowledgement {
+        Responder responder;
+        Instant deadline;
+    };
+
+    const Dialect& dialect() const { return *m_context.adapter.dialect; }
+
     // --- messages
     void handle(OfferCall&&);
     void handle(CancelCall&&);
@@ -32,13 +40,20 @@
     void handle(DrainTarget&&);
     void handle(CatalogueChanged&&);
     void handle(ServingChanged&&);
+    void handle(DepartureRestored&&);
     void handle(BeginDrain&&);
 
     // --- HTTP on loopback
     void localRequest(HttpRequest, const Endpoint& peer, Responder);
-    void announce(const HttpRequest&, const Responder&);
-    void withdraw(const HttpRequest&, const Responder&);
+    void targetMessage(TargetAnnouncement&&, const Responder&);
+    void targetMessage(TargetWithdrawal&&, const Responder&);
+    void targetMessage(AnnouncementError, const Responder&);
+    void targetMessage(NoAnnouncement, const Responder&);
+    // Answers the target once its departure is durable, or after a while without.
+    void acknowledgeDeparture(const TargetIncarnation&, const Responder&);
     void applyAnnouncement(LocalTarget&, const TargetAnnouncement&, Instant now);
+    // Another target has taken over the address of these.
+    void endOthers(const LocalTarget&);
 
     // --- actions of admission
     void perform(LocalTarget&, AdmissionActions&);
@@ -48,6 +63,8 @@
     void perform(LocalTarget&, AnswerQuery&&);
     void targetFinished(LocalTarget&, const AttemptId&, SendResult);
     void loseRunning(LocalTarget&, LossReason);
+    static void logTargetAnswer(const LocalTarget&, const AttemptId&, const SendResult&);
+    void applyDefinition(LocalTarget&, const ServiceDefinition&);
 
     LocalTarget& findOrCreate(const ServiceName&);
     LocalTarget* find(const ServiceName&);
@@ -68,12 +85,15 @@
     PauseDetector m_pauses;
     MeasureBudget m_budget;
     std::map<ServiceName, std::unique_ptr<LocalTarget>> m_targets;
+    AnnouncementOrder m_order;
     std::vector<LinkId> m_links;
     CataloguePointer m_catalogue;
     // Numbers the pauses of this node; every target has its own number for the same pause.
     uint64_t m_pause { 0 };
     bool m_isDraining { false };
     Instant m_nextCheck;
+    // Departures that are being made durable, with the time at which their targets get an answer regardless.
+    std::list<PendingAcknowledgement> m_acknowledgements;
 
     // Takes admission's answer while a query is handed to it; null at other times.
     std::function<void(QueryReply)> m_queryReply;
--- a/Source/Peer/PeerCodec.cpp
+++ b/Source/Peer/PeerCodec.cpp
@@ -20,6 +20,8 @@
 constexpr size_t maximumMethodLength = 32;
 constexpr size_t maximumTargetLength = 16 * 1024;
 constexpr size_t maximumReasonLength = 1024;
+constexpr size_t maximumRequestId = 256;
+constexpr size_t maximumDocument = 1024 * 1024;
 constexpr uint32_t maximumDepth = 32;
 constexpr uint32_t maximumRetryTokens = 8;
 constexpr size_t maximumServices = 4096;
@@ -108,6 +110,7 @@
     builder.setIsWarmingUp(load.isWarmingUp);
     builder.setServiceTimeMicroseconds(
         static_cast<uint32_t>(std::clamp<int64_t>(load.serviceTime.count(), 0, maximum)));
+    builder.setSlownessPercent(load.slownessPercent);
 }
 
 LoadReport readLoad(Schema::LoadReport::Reader reader)
@@ -117,6 +120,7 @@
         .running = reader.getRunning(),
         .queued = reader.getQueued(),
         .serviceTime = Duration(reader.getServiceTimeMicroseconds()),
+        .slownessPercent = reader.getSlownessPercent(),
         .isWarmingUp = reader.getIsWarmingUp(),
     };
 }
@@ -265,6 +269,8 @@
     builder.setKind(static_cast<Schema::RequestKind>(request.kind));
     builder.setPriority(static_cast<Schema::Priority>(request.priority));
     builder.setDeadline(toMicroseconds(request.deadline));
+    builder.setObjective(toMicroseconds(request.objective));
+    builder.setRequestId(textOf(request.requestId));
     builder.setRetryTokens(request.retryTokens);
     builder.setDepth(request.depth);
     auto http = builder.initHttp();
@@ -311,6 +317,7 @@
     builder.setVersion(delta.version);
     builder.setBaseVersion(delta.baseVersion);
     builder.setIsServing(offer.isServing);
+    builder.setDocument(bytesOf(offer.document));
     auto services = builder.initServices(static_cast<unsigned>(delta.changed.size()));
     unsigned i = 0;
     for (const auto& it : delta.changed)
@@ -339,6 +346,8 @@
         request.kind = readEnum(reader.getKind(), RequestKind::Patient);
         request.priority = readEnum(reader.getPriority(), Priority::Bulk);
         request.deadline = clockTime(reader.getDeadline());
+        request.objective = clockTime(reader.getObjective());
+        request.requestId = readText(reader.getRequestId(), maximumRequestId);
         request.retryTokens = reader.getRetryTokens();
         request.depth = reader.getDepth();
         require(request.retryTokens <= maximumRetryTokens, "too many retry tokens");
@@ -391,6 +400,7 @@
             offer.delta.removed.push_back(
                 { .name = readName<struct ServiceNameTag>(it.getName()), .version = it.getVersion() });
         }
+        offer.document = readBytes(reader.getDocument(), maximumDocument);
         return offer;
     });
 }
@@ -431,7 +441,8 @@
 size_t estimateSize(const ConfigurationOffer& offer)
 {
     constexpr size_t definitionSize = 160;
-    return messageOverhead + (offer.delta.changed.size() + offer.delta.removed.size()) * definitionSize;
+    return messageOverhead + (offer.delta.changed.size() + offer.delta.removed.size()) * definitionSize
+        + offer.document.size();
 }
 
 } // namespace Berylport
--- a/Source/Peer/ServerLink.cpp
+++ b/Source/Peer/ServerLink.cpp
@@ -67,6 +67,7 @@
         context.releaseParams();
         AttemptId id = request.value().id;
         request.value().deadline = link->translate(request.value().deadline);
+        request.value().objective = link->translate(request.value().objective);
         auto pair = kj::newPromiseAndFulfiller<CallReply>();
         link->m_context.loop.guard([&] {
             auto reply = makeReply(kj::mv(pair.fulfiller));
--- a/Source/Platform/HttpStoreClient.cpp
+++ b/Source/Platform/HttpStoreClient.cpp
@@ -5,6 +5,7 @@
 #include "Base/Random.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
@@ -12,6 +13,9 @@
 #include <algorithm>
 #include <deque>
 #include <list>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <vector>
 
 namespace Berylport {
@@ -36,6 +40,24 @@
 
 constexpr int statusUnavailable = 503;
 
+// A request that waits long for its answer sends nothing itself. TCP probes show a connection that has gone silent
+// within keepAliveIdle + keepAliveCount * keepAliveInterval seconds, without a request to the store.
+constexpr int keepAliveIdle = 1;
+constexpr int keepAliveInterval = 1;
+constexpr int keepAliveCount = 2;
+
+void detectDeadPeer(evutil_socket_t fd)
+{
+    if (fd < 0)
+        return;
+    int on = 1;
+    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &keepAliveIdle, sizeof(keepAliveIdle));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &keepAliveInterval, sizeof(keepAliveInterval));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &keepAliveCount, sizeof(keepAliveCount));
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
 } // namespace
 
 class HttpStoreClient::Implementation {
@@ -48,13 +70,13 @@
     {
     }
 
-    void post(const char* path, std::string body, Callback callback)
+    void send(StoreRequest message, Callback callback)
     {
         auto& request = m_requests.emplace_back();
         request.owner = this;
         request.place = std::prev(m_requests.end());
-        request.path = path;
-        request.body = std::move(body);
+        request.timeout = message.timeout.value_or(m_options.timeout);
+        request.message = std::move(message);
         request.callback = std::move(callback);
         if (!mayStart(steadyNow())) {
             finish(request, StoreSilence { .isUnsent = true, .text = "circuit breaker is open" });
@@ -65,7 +87,7 @@
             return;
         }
         request.timer.reset(event_new(m_base, -1, 0, &Implementation::onTimeout, &request));
-        auto timeout = toTimeval(m_options.timeout);
+        auto timeout = toTimeval(request.timeout);
         event_add(request.timer.get(), &timeout);
         if (m_outstanding < m_options.maxOutstanding)
             start(request);
@@ -77,8 +99,8 @@
     struct Request {
         Implementation* owner { nullptr };
         std::list<Request>::iterator place;
-        const char* path { nullptr };
-        std::string body;
+        StoreRequest message;
+        Duration timeout {};
         Callback callback;
         EventPointer timer;
         ConnectionPointer connection;
@@ -106,9 +128,6 @@
         if (!connection)
             return connection;
         evhttp_connection_set_max_body_size(connection.get(), static_cast<ev_ssize_t>(m_options.maxAnswerBytes));
-        // The request's own timer is the one that ends it.
-        auto longer = toTimeval(m_options.timeout * 2);
-        evhttp_connection_set_timeout_tv(connection.get(), &longer);
         evhttp_connection_set_retries(connection.get(), 0);
         return connection;
     }
@@ -122,11 +141,18 @@
             finishStarted(request, StoreSilence { .isUnsent = true, .text = "no connection" });
             return;
         }
+        // The request's own timer is the one that ends it.
+        auto longer = toTimeval(request.timeout * 2);
+        evhttp_connection_set_timeout_tv(request.connection.get(), &longer);
         auto* headers = evhttp_request_get_output_headers(message);
         evhttp_add_header(headers, "Host", m_options.server.address.c_str());
         evhttp_add_header(headers, "Content-Type", "application/json");
-        evbuffer_add(evhttp_request_get_output_buffer(message), request.body.data(), request.body.size());
-        if (evhttp_make_request(request.connection.get(), message, EVHTTP_REQ_POST, request.path) && !request.reply)
+        auto& body = request.message.body;
+        evbuffer_add(evhttp_request_get_output_buffer(message), body.data(), body.size());
+        auto method = request.message.method == StoreMethod::Get ? EVHTTP_REQ_GET : EVHTTP_REQ_POST;
+        int failed = evhttp_make_request(request.connection.get(), message, method, request.message.path.c_str());
+        detectDeadPeer(bufferevent_getfd(evhttp_connection_get_bufferevent(request.connection.get())));
+        if (failed && !request.reply)
             finishStarted(request, StoreSilence { .isUnsent = true, .text = "connection failed" });
     }
 
@@ -261,9 +287,14 @@
 
 HttpStoreClient::~HttpStoreClient() = default;
 
+void HttpStoreClient::send(StoreRequest request, Callback callback)
+{
+    m_implementation->send(std::move(request), std::move(callback));
+}
+
 void HttpStoreClient::post(const char* path, std::string body, Callback callback)
 {
-    m_implementation->post(path, std::move(body), std::move(callback));
+    m_implementation->send({ .path = path, .body = std::move(body) }, std::move(callback));
 }
 
 PlatformError storeError(StoreOperation operation, const StoreReply& reply)
--- a/Source/Platform/HttpStoreClient.h
+++ b/Source/Platform/HttpStoreClient.h
@@ -32,12 +32,27 @@
 
 using StoreReply = std::variant<StoreAnswer, StoreSilence>;
 
+enum class StoreMethod : uint8_t {
+    Get,
+    Post,
+};
+
+struct StoreRequest {
+    StoreMethod method { StoreMethod::Post };
+    // With its query.
+    std::string path;
+    std::string body {};
+    // Instead of the client's own timeout.
+    std::optional<Duration> timeout {};
+};
+
 class HttpStoreClient {
 public:
     using Callback = std::function<void(Instant now, StoreReply)>;
 
     HttpStoreClient(event_base*, HttpClientOptions);
     ~HttpStoreClient();
+    void send(StoreRequest, Callback);
     void post(const char* path, std::string body, Callback);
 
 private:
--- a/Source/Platform/PlatformError.h
+++ b/Source/Platform/PlatformError.h
@@ -23,6 +23,8 @@
     Malformed,
     // Over the store's rate. The request was not carried out and will not be.
     Throttled,
+    // The store no longer knows what changed since the position asked for.
+    HistoryLost,
 };
 
 constexpr std::string_view toText(PlatformErrorCode code)
@@ -40,6 +42,8 @@
         return "malformed";
     case PlatformErrorCode::Throttled:
         return "throttled";
+    case PlatformErrorCode::HistoryLost:
+        return "history-lost";
     }
     return "unknown";
 }
--- a/Source/Platform/StoreMessages.cpp
+++ b/Source/Platform/StoreMessages.cpp
@@ -239,6 +239,8 @@
         return 400;
     case PlatformErrorCode::Throttled:
         return 429;
+    case PlatformErrorCode::HistoryLost:
+        return 410;
     }
     return 500;
 }
--- a/Source/Schema/Generated/Peer.capnp.h
+++ b/Source/Schema/Generated/Peer.capnp.h
@@ -200,7 +200,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9e198d116e30ff07, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(9e198d116e30ff07, 5, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -358,7 +358,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9452ddf573246974, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(9452ddf573246974, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1029,6 +1029,8 @@
 
   inline  ::uint32_t getServiceTimeMicroseconds() const;
 
+  inline  ::uint16_t getSlownessPercent() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1072,6 +1074,9 @@
   inline  ::uint32_t getServiceTimeMicroseconds();
   inline void setServiceTimeMicroseconds( ::uint32_t value);
 
+  inline  ::uint16_t getSlownessPercent();
+  inline void setSlownessPercent( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1139,6 +1144,11 @@
   inline bool hasHttp() const;
   inline  ::Berylport::Schema::HttpRequest::Reader getHttp() const;
 
+  inline  ::int64_t getObjective() const;
+
+  inline bool hasRequestId() const;
+  inline  ::capnp::Text::Reader getRequestId() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1213,6 +1223,16 @@
   inline void adoptHttp(::capnp::Orphan< ::Berylport::Schema::HttpRequest>&& value);
   inline ::capnp::Orphan< ::Berylport::Schema::HttpRequest> disownHttp();
 
+  inline  ::int64_t getObjective();
+  inline void setObjective( ::int64_t value);
+
+  inline bool hasRequestId();
+  inline  ::capnp::Text::Builder getRequestId();
+  inline void setRequestId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
+  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2160,6 +2180,9 @@
 
   inline bool getIsServing() const;
 
+  inline bool hasDocument() const;
+  inline  ::capnp::Data::Reader getDocument() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2211,6 +2234,13 @@
   inline bool getIsServing();
   inline void setIsServing(bool value);
 
+  inline bool hasDocument();
+  inline  ::capnp::Data::Builder getDocument();
+  inline void setDocument( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initDocument(unsigned int size);
+  inline void adoptDocument(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownDocument();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3887,6 +3917,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t LoadReport::Reader::getSlownessPercent() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t LoadReport::Builder::getSlownessPercent() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void LoadReport::Builder::setSlownessPercent( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CallRequest::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4117,6 +4161,54 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t CallRequest::Reader::getObjective() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t CallRequest::Builder::getObjective() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void CallRequest::Builder::setObjective( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CallRequest::Reader::hasRequestId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool CallRequest::Builder::hasRequestId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CallRequest::Reader::getRequestId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CallRequest::Builder::getRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void CallRequest::Builder::setRequestId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CallRequest::Builder::initRequestId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void CallRequest::Builder::adoptRequestId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CallRequest::Builder::disownRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline bool CallQuery::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5068,6 +5160,40 @@
       ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Configuration::Reader::hasDocument() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Configuration::Builder::hasDocument() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Configuration::Reader::getDocument() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Configuration::Builder::getDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Configuration::Builder::setDocument( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Configuration::Builder::initDocument(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Configuration::Builder::adoptDocument(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Configuration::Builder::disownDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/Source/Schema/Peer.capnp
+++ b/Source/Schema/Peer.capnp
@@ -76,6 +76,8 @@
   queued @2 :UInt16;
   isWarmingUp @3 :Bool;
   serviceTimeMicroseconds @4 :UInt32;
+  # How long work takes on the target's VM at present; 100 is its usual speed, zero is unknown.
+  slownessPercent @5 :UInt16;
 }
 
 struct CallRequest {
@@ -90,6 +92,10 @@
   retryTokens @7 :UInt32;
   depth @8 :UInt32;
   http @9 :HttpRequest;
+  # Microseconds on the sender's steady clock; an answer by then is worth the most to the caller.
+  objective @10 :Int64;
+  # The caller's own name for the request, for logs.
+  requestId @11 :Text;
 }
 
 struct CallQuery {
@@ -174,6 +180,9 @@
   removed @3 :List(RemovedService);
   # The answering node itself serves calls.
   isServing @4 :Bool;
+  # The whole configuration in the form of the operators' source, where that is not this product's own table. Empty
+  # when the asking node holds this version.
+  document @5 :Data;
 }
 
 interface Peer {
--- a/Source/Settings/NodeSettings.h
+++ b/Source/Settings/NodeSettings.h
@@ -14,6 +14,10 @@
 struct NodeSection {
     ZoneName zone;
     RegionName region;
+    // Stable name of the VM; the key of this node's row in the shared store.
+    std::string name {};
+    // Service of the target on this VM. Targets of other VMs are told that calls which enter here come from it.
+    std::string service {};
 };
 
 struct ListenSection {
@@ -25,6 +29,10 @@
     // Other nodes reach these two, so they hold the VM's own IP number.
     Endpoint peer { .address = "127.0.0.1", .port = 7083 };
     Endpoint gossip { .address = "127.0.0.1", .port = 7084 };
+    // Answers 200 while this node wants new callers.
+    std::optional<Endpoint> readiness;
+    // The measures page, besides the local address.
+    std::optional<Endpoint> metrics;
     // What other nodes are told instead, where an address translator stands between.
     std::optional<Endpoint> peerAdvertised;
     std::optional<Endpoint> gossipAdvertised;
@@ -33,6 +41,8 @@
 struct PlatformSection {
     std::optional<Endpoint> table;
     std::optional<Endpoint> objects;
+    // Store of rows that operators write to; it takes the place of the table and the object store.
+    std::optional<Endpoint> store;
     Duration timeout { std::chrono::milliseconds(500) };
     // This node's part of the fleet's store writes.
     uint32_t writesPerSecond { 20 };
@@ -68,6 +78,14 @@
     Duration crossZoneRoundTrip { std::chrono::milliseconds(3) };
 };
 
+struct RetrySection {
+    // Further attempts that may reach targets, as a share of the calls; all nodes together stay below it.
+    double share { 0.1 };
+    // Further attempts beyond the share that the whole fleet may make within the window.
+    uint32_t fleetExtra { 30 };
+    Duration window { std::chrono::seconds(10) };
+};
+
 struct MeasureSection {
     // Share of the calls' own bytes, and of one core.
     double byteShare { 0.01 };
@@ -88,6 +106,10 @@
 struct ShutdownSection {
     // Above the longest caller wait of 5 minutes, so that no call in flight is cut off by it.
     Duration drainLimit { std::chrono::seconds(330) };
+    // The environment kills the process this long after SIGTERM; zero when it does not.
+    Duration killTime {};
+    // Callers are still accepted for this long after readiness has ended, until all have noticed.
+    Duration noticeTime {};
 };
 
 struct NodeSettings {
@@ -98,6 +120,7 @@
     CallerSection caller;
     TargetSection target;
     RoutingSection routing;
+    RetrySection retry;
     MeasureSection measure;
     LogSection log;
     TraceSection trace;
--- a/Source/Settings/SettingsFile.cpp
+++ b/Source/Settings/SettingsFile.cpp
@@ -70,7 +70,8 @@
     void requireAll()
     {
         for (auto& it : settingsSchema()) {
-            if (it.isRequired && !m_seen.contains({ std::string(it.section), std::string(it.key) }))
+            bool isReplaced = it.section == "platform" && m_settings.platform.store.has_value();
+            if (it.isRequired && !isReplaced && !m_seen.contains({ std::string(it.section), std::string(it.key) }))
                 report(SettingsErrorCode::MissingKey, std::string(it.section), std::string(it.key), "");
         }
     }
--- a/Source/Settings/SettingsSchema.cpp
+++ b/Source/Settings/SettingsSchema.cpp
@@ -192,6 +192,20 @@
     return makeSetting(place, "text", std::string(range), parse, field.defaultValue());
 }
 
+template <typename Section> SettingInfo seconds(Place place, Field<Section, Duration> field, int64_t maximum)
+{
+    auto parse = [=](NodeSettings& settings, std::string_view text) -> std::optional<std::string> {
+        auto n = parseNumber<double>(text);
+        if (!n || !(*n >= 0 && *n <= static_cast<double>(maximum)))
+            return "must be a number of seconds from " + rangeText(0, maximum);
+        field.in(settings) = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(*n));
+        return std::nullopt;
+    };
+    std::ostringstream defaultText;
+    defaultText << std::chrono::duration<double>(field.defaultValue()).count();
+    return makeSetting(place, "s", rangeText(0, maximum), parse, defaultText.str());
+}
+
 constexpr int64_t minute = 60'000;
 
 void appendAddresses(std::vector<SettingInfo>& list)
@@ -200,6 +214,10 @@
     using L = ListenSection;
     list.push_back(name({ "node", "zone", "availability zone of this VM" }, Field { &S::node, &NodeSection::zone }));
     list.push_back(name({ "node", "region", "region of the zone" }, Field { &S::node, &NodeSection::region }));
+    list.push_back(text({ "node", "name", "name of this VM; key of its row in the shared store" }, "any text",
+        Field { &S::node, &NodeSection::name }));
+    list.push_back(text({ "node", "service", "service of the target on this VM" }, "any text",
+        Field { &S::node, &NodeSection::service }));
     list.push_back(endpoint({ "listen", "caller", "callers' HTTP" }, Field { &S::listen, &L::caller }));
     list.push_back(endpoint({ "listen", "local", "announcements of targets on this VM, and the measures page" },
         Field { &S::listen, &L::local }));
@@ -207,6 +225,10 @@
         endpoint({ "listen", "operators", "operators' remote procedure calls" }, Field { &S::listen, &L::operators }));
     list.push_back(endpoint({ "listen", "peer", "links from other nodes" }, Field { &S::listen, &L::peer }));
     list.push_back(endpoint({ "listen", "gossip", "membership datagrams" }, Field { &S::listen, &L::gossip }));
+    list.push_back(optionalEndpoint(
+        { "listen", "readiness", "answers 200 while callers are wanted" }, Field { &S::listen, &L::readiness }, false));
+    list.push_back(optionalEndpoint({ "listen", "metrics", "the measures page, besides the local address" },
+        Field { &S::listen, &L::metrics }, false));
     list.push_back(optionalEndpoint({ "listen", "peer_advertised", "peer address told to other nodes instead" },
         Field { &S::listen, &L::peerAdvertised }, false));
     list.push_back(optionalEndpoint({ "listen", "gossip_advertised", "gossip address told to other nodes instead" },
@@ -221,6 +243,8 @@
     list.push_back(optionalEndpoint({ "platform", "table", "table service" }, Field { &S::platform, &P::table }, true));
     list.push_back(
         optionalEndpoint({ "platform", "objects", "object store" }, Field { &S::platform, &P::objects }, true));
+    list.push_back(optionalEndpoint({ "platform", "store", "store of rows, in place of table and objects" },
+        Field { &S::platform, &P::store }, false));
     list.push_back(milliseconds({ "platform", "timeout_ms", "wait for one answer of the platform" },
         Field { &S::platform, &P::timeout }, 10, minute));
     list.push_back(number({ "platform", "writes_per_second", "store writes that this node may make" }, "count",
@@ -266,6 +290,11 @@
         { "fresh-load", "two-choices", "least-reported", "round-robin", "random" }));
     list.push_back(milliseconds({ "routing", "cross_zone_round_trip_ms", "round trip to another zone of the region" },
         Field { &S::routing, &RoutingSection::crossZoneRoundTrip }, 0, 1000));
+    list.push_back(share({ "retry", "share", "further attempts that may reach targets, per call" },
+        Field { &S::retry, &RetrySection::share }, 0, 1));
+    list.push_back(number({ "retry", "fleet_extra", "further attempts beyond the share, of all nodes in a window" },
+        "count", Field { &S::retry, &RetrySection::fleetExtra }, 0, 1'000'000));
+    list.push_back(seconds({ "retry", "window_s", "the window" }, Field { &S::retry, &RetrySection::window }, 3600));
     list.push_back(share({ "measure", "byte_share", "measuring's part of the calls' own bytes" },
         Field { &S::measure, &M::byteShare }, 0, 0.1));
     list.push_back(
@@ -278,6 +307,10 @@
         Field { &S::trace, &TraceSection::output }));
     list.push_back(milliseconds({ "shutdown", "drain_limit_ms", "longest graceful shutdown" },
         Field { &S::shutdown, &ShutdownSection::drainLimit }, 0, 60 * minute));
+    list.push_back(seconds({ "shutdown", "grace_s", "time after which the process is killed; 0 when it is not" },
+        Field { &S::shutdown, &ShutdownSection::killTime }, 3600));
+    list.push_back(seconds({ "shutdown", "notice_s", "callers are accepted for this long after readiness has ended" },
+        Field { &S::shutdown, &ShutdownSection::noticeTime }, 3600));
 }
 
 std::vector<SettingInfo> buildSchema()
--- /dev/null
+++ b/Source/Traffic/Traffic.h
@@ -0,0 +1,6 @@
+// Public header of Traffic: the operators' routes, and which service a request goes to.
+#pragma once
+
+#include "Traffic/RouteFinder.h"
+#include "Traffic/TrafficConfiguration.h"
+#include "Traffic/TrafficSplit.h"
