--- a/tests/Node/CallerAnswersTest.cpp
+++ b/tests/Node/CallerAnswersTest.cpp
@@ -2,6 +2,7 @@
 #include "Node/CallerAnswers.h"
 #include "Node/Announcement.h"
 #include "Node/DefinitionCodec.h"
+#include "Node/OwnDialect.h"
 
 #include <gtest/gtest.h>
 
@@ -50,7 +51,7 @@
     AnswerCaller answer { .outcome = RunOutcome::NotRun, .result = CallFailure::Refused };
     answer.refusal = RefusalReason::QueueFull;
     answer.retryAfter = 1001us;
-    HttpResponse response = makeAnswer(std::move(answer));
+    HttpResponse response = makeAnswer(std::move(answer), OwnDialect());
     EXPECT_EQ(response.status, 503);
     EXPECT_EQ(headerOf(response, Header::outcome), "not-run");
     EXPECT_EQ(headerOf(response, Header::reason), "queue-full");
@@ -63,7 +64,7 @@
 {
     AnswerCaller answer { .outcome = RunOutcome::MayHaveRun, .result = CallFailure::ResponseLost };
     answer.refusal = RefusalReason::QueueFull;
-    HttpResponse response = makeAnswer(std::move(answer));
+    HttpResponse response = makeAnswer(std::move(answer), OwnDialect());
     EXPECT_EQ(response.status, 502);
     EXPECT_EQ(headerOf(response, Header::outcome), "may-have-run");
     EXPECT_EQ(headerOf(response, Header::reason), "response-lost");
@@ -72,7 +73,7 @@
 TEST(CallerAnswers, TargetCannotSpeakForTheSystem)
 {
     HttpResponse http { .status = 200, .headers = { { "Berylport-Outcome", "not-run" }, { "Berylport-Reason", "x" } } };
-    HttpResponse response = makeAnswer({ .outcome = RunOutcome::Run, .result = http });
+    HttpResponse response = makeAnswer({ .outcome = RunOutcome::Run, .result = http }, OwnDialect());
     EXPECT_EQ(headerOf(response, Header::outcome), "run");
     EXPECT_EQ(headerOf(response, Header::reason), "absent");
 }
