Admit by objective, learn the concurrency, hand calls on from slow VMs

Change: a call that cannot be in time is not queued before one that can; the number run at once is learned from finished calls; a VM that is much slower than its own mean refuses truthfully so that the sender asks another.

--- a/Source/Admission/AdmissionController.cpp
+++ b/Source/Admission/AdmissionController.cpp
@@ -2,6 +2,8 @@
 #include "Admission/AdmissionController.h"
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 namespace Berylport {
 
@@ -10,6 +12,8 @@
 // What a nested call leaves of its parent's time for the way back.
 constexpr Duration nestedCallMargin = std::chrono::milliseconds(5);
 constexpr uint32_t maximumDepth = 32;
+// A caller told to stay away for longer would miss the end of most overloads.
+constexpr Duration maximumRetryAfter = std::chrono::seconds(2);
 
 uint16_t toCount(size_t n) { return static_cast<uint16_t>(std::min<size_t>(n, UINT16_MAX)); }
 
@@ -21,6 +25,7 @@
     , m_queue(m_tenants)
     , m_ledger(m_options.ledger)
 {
+    m_concurrency.setSlots(m_slots);
 }
 
 void AdmissionController::setDefinition(const ServiceDefinition& definition)
@@ -32,6 +37,7 @@
 void AdmissionController::setSlots(Instant now, uint16_t slots, AdmissionActions& actions)
 {
     m_slots = slots;
+    m_concurrency.setSlots(slots);
     tick(now, actions);
 }
 
@@ -89,10 +95,97 @@
 void AdmissionController::tick(Instant now, AdmissionActions& actions)
 {
     dropExpired(now, actions);
+    dropLate(now, actions);
     m_ledger.evictExpired(now);
     startWaiting(now, actions);
 }
 
+std::optional<Instant> AdmissionController::nextWake() const
+{
+    auto next = m_queue.earliestDeadline();
+    for (auto& it : m_late)
+        next = std::min(next.value_or(it.giveUpAt), it.giveUpAt);
+    return next;
+}
+
+uint16_t AdmissionController::limit() const
+{
+    return m_options.learnsConcurrency ? std::min(m_slots, m_concurrency.limit()) : m_slots;
+}
+
+// At the speed that the VM is likely to have, with the target as busy as it is when calls wait.
+Duration AdmissionController::expectedTime(const CallRequest& request) const
+{
+    Duration base = m_concurrency.baseTime(request.route);
+    if (base <= Duration::zero())
+        return m_serviceTime.average();
+    return Duration(std::llround(static_cast<double>(base.count()) * m_meter.expectedSlowness()));
+}
+
+Duration AdmissionController::waitBehind(size_t calls) const
+{
+    return static_cast<int64_t>(calls) * m_serviceTime.average() / std::max<int64_t>(limit(), 1);
+}
+
+bool AdmissionController::isInTime(Instant now, const CallRequest& request) const
+{
+    // An objective at the deadline or without one makes no difference between calls in time and late ones.
+    bool hasObjective = request.objective != Instant() && request.objective < request.deadline;
+    if (!hasObjective || !m_serviceTime.isKnown())
+        return true;
+    Duration wait = waitBehind(m_queue.countAhead(request.tenant, request.priority) + 1);
+    return now + wait + expectedTime(request) <= request.objective;
+}
+
+bool AdmissionController::mayWaitLate(Instant now, const CallRequest& request) const
+{
+    Duration wait = waitBehind(waiting() + 1);
+    auto patience = Duration(
+        std::llround(m_options.latePatience * static_cast<double>((request.deadline - request.objective).count())));
+    return wait <= patience && now + wait + expectedTime(request) <= request.deadline;
+}
+
+void AdmissionController::waitLate(Instant now, CallRequest request)
+{
+    auto patience = Duration(
+        std::llround(m_options.latePatience * static_cast<double>((request.deadline - request.objective).count())));
+    Instant giveUpAt = std::min(now + patience, request.deadline);
+    m_late.push_back({ .request = std::move(request), .giveUpAt = giveUpAt });
+}
+
+std::optional<CallRequest> AdmissionController::takeLate(const AttemptId& id)
+{
+    auto it = std::ranges::find(m_late, id, [](auto& late) { return late.request.id; });
+    if (it == m_late.end())
+        return std::nullopt;
+    CallRequest request = std::move(it->request);
+    m_late.erase(it);
+    return request;
+}
+
+void AdmissionController::dropLate(Instant now, AdmissionActions& actions)
+{
+    for (auto it = m_late.begin(); it != m_late.end();) {
+        if (it->giveUpAt > now) {
+            ++it;
+            continue;
+        }
+        AttemptId id = it->request.id;
+        it = m_late.erase(it);
+        refuse(now, *m_ledger.find(id), RefusalReason::QueueFull, actions);
+    }
+}
+
+bool AdmissionController::startLate(Instant now, AdmissionActions& actions)
+{
+    if (m_late.empty())
+        return false;
+    CallRequest request = std::move(m_late.front().request);
+    m_late.pop_front();
+    startOrDrop(now, std::move(request), actions);
+    return true;
+}
+
 // A definition that has just become stricter holds for requests that were sent under the former one as well.
 RequestKind AdmissionController::strictestKind(const CallRequest& request) const
 {
@@ -134,6 +227,8 @@
         return RefusalReason::DeadlinePassed;
     if (!m_ledger.hasRoom())
         return RefusalReason::LedgerFull;
+    if (request.mayHandOn && isSlowNow())
+        return RefusalReason::SlowNow;
     if (isTooLate(now, request))
         return RefusalReason::DeadlineTooNear;
     return std::nullopt;
@@ -150,6 +245,11 @@
     return std::nullopt;
 }
 
+bool AdmissionController::isSlowNow() const
+{
+    return m_meter.slowness() >= m_options.slowFactor * m_meter.meanSlowness();
+}
+
 // A call that starts just before its deadline is answered too late, so the answer is counted in. With a free slot the
 // estimate is not used: an average that is too high would otherwise refuse all calls and never be corrected.
 bool AdmissionController::isTooLate(Instant now, const CallRequest& request) const
@@ -157,20 +257,25 @@
     if (canStart() || !m_serviceTime.isKnown())
         return false;
     auto ahead = static_cast<int64_t>(m_queue.countAhead(request.tenant, request.priority));
-    Duration wait = (ahead + 1) * m_serviceTime.average() / m_slots;
+    Duration wait = (ahead + 1) * m_serviceTime.average() / std::max<int64_t>(limit(), 1);
     return now + wait + m_serviceTime.average() > request.deadline;
 }
 
 bool AdmissionController::canStart() const
 {
     bool takesWork = m_state == TargetState::Ready || m_state == TargetState::Draining;
-    return takesWork && m_gate.isOpen() && m_running < m_slots;
+    return takesWork && m_gate.isOpen() && m_running < limit();
 }
 
 // Whatever could start has been started by the tick before, so with a free slot the queue is empty.
 void AdmissionController::admit(Instant now, LinkId link, CallRequest request, AdmissionActions& actions)
 {
     bool startsNow = canStart();
+    bool isLate = !startsNow && !isInTime(now, request);
+    if (isLate && !mayWaitLate(now, request)) {
+        refuseUnknown(now, link, request, RefusalReason::QueueFull, actions);
+        return;
+    }
     auto reason = startsNow ? std::nullopt : makeRoom(now, request, actions);
     if (reason) {
         refuseUnknown(now, link, request, *reason, actions);
@@ -180,6 +285,8 @@
     m_ledger.addRequester(entry, { .link = link, .asked = request.id });
     if (startsNow)
         start(now, entry, std::move(request), actions);
+    else if (isLate)
+        waitLate(now, std::move(request));
     else
         m_queue.push(std::move(request));
 }
@@ -218,9 +325,18 @@
 {
     while (canStart()) {
         auto request = m_queue.takeNext(m_serviceTime.average());
-        if (!request)
-            return;
-        startOrDrop(now, std::move(*request), actions);
+        if (!request) {
+            if (!startLate(now, actions))
+                return;
+            continue;
+        }
+        // A slot goes to a call that can still be in time, if there is one.
+        bool hasObjective = request->objective != Instant() && request->objective < request->deadline;
+        bool hasBecomeLate = hasObjective && now + expectedTime(*request) > request->objective;
+        if (hasBecomeLate && !m_queue.isEmpty())
+            waitLate(now, std::move(*request));
+        else
+            startOrDrop(now, std::move(*request), actions);
     }
 }
 
@@ -231,7 +347,7 @@
     bool isTooLateToUse = now + m_serviceTime.average() > request.deadline;
     if (request.deadline <= now)
         refuse(now, entry, RefusalReason::DeadlinePassed, actions);
-    else if (isTooLateToUse && !m_queue.isEmpty())
+    else if (isTooLateToUse && waiting())
         refuse(now, entry, RefusalReason::DeadlineTooNear, actions);
     else
         start(now, entry, std::move(request), actions);
@@ -242,6 +358,8 @@
     m_ledger.start(entry, now);
     m_tenants.noteStarted(entry.tenant);
     m_running++;
+    m_meter.setRunning(m_running, now);
+    m_runs[request.id] = { .route = request.route, .since = m_meter.mark(now) };
     actions.push_back(StartOnTarget {
         .id = request.id,
         .service = std::move(request.service),
@@ -263,6 +381,8 @@
 {
     while (auto request = m_queue.takeNext(m_serviceTime.average()))
         refuse(now, *m_ledger.find(request->id), reason, actions);
+    for (auto& it : std::exchange(m_late, {}))
+        refuse(now, *m_ledger.find(it.request.id), reason, actions);
 }
 
 void AdmissionController::cancel(Instant now, const CallCancel& message, AdmissionActions& actions)
@@ -278,7 +398,7 @@
 
 void AdmissionController::cancelLive(Instant now, LedgerEntry& entry, AdmissionActions& actions)
 {
-    if (m_queue.take(entry.id)) {
+    if (m_queue.take(entry.id) || takeLate(entry.id)) {
         refuse(now, entry, RefusalReason::Cancelled, actions);
         return;
     }
@@ -312,19 +432,34 @@
     std::visit([&](auto& it) { actions.push_back(AnswerQuery { .link = link, .reply = std::move(it) }); }, reply);
 }
 
-LedgerEntry* AdmissionController::endRunning(const AttemptId& id)
+LedgerEntry* AdmissionController::endRunning(Instant now, const AttemptId& id)
 {
     LedgerEntry* entry = m_ledger.find(id);
     if (!entry || !entry->is<AttemptRunning>())
         return nullptr;
     m_running--;
+    m_meter.setRunning(m_running, now);
+    m_runs.erase(id);
     return entry;
 }
 
+void AdmissionController::noteRun(Instant now, const AttemptId& id, uint16_t status)
+{
+    auto run = m_runs.find(id);
+    // A failure may come sooner or later than the work would have taken.
+    if (run == m_runs.end() || status >= 500)
+        return;
+    double slowness = std::max(m_meter.meanSlowness(run->second.since, now), 0.1);
+    auto elapsed = static_cast<double>((now - run->second.since.at).count());
+    m_concurrency.noteFinished(run->second.route, Duration(std::llround(elapsed / slowness)),
+        m_meter.meanRunning(run->second.since, now), now);
+}
+
 void AdmissionController::targetAnswered(
     Instant now, const AttemptId& id, HttpResponse answer, AdmissionActions& actions)
 {
-    LedgerEntry* entry = endRunning(id);
+    noteRun(now, id, answer.status);
+    LedgerEntry* entry = endRunning(now, id);
     if (!entry)
         return;
     Duration elapsed = now - std::get<AttemptRunning>(entry->state).startedAt;
@@ -338,7 +473,7 @@
 
 void AdmissionController::targetLost(Instant now, const AttemptId& id, LossReason reason, AdmissionActions& actions)
 {
-    LedgerEntry* entry = endRunning(id);
+    LedgerEntry* entry = endRunning(now, id);
     if (!entry)
         return;
     m_serviceTime.noteLost(now - std::get<AttemptRunning>(entry->state).startedAt);
@@ -350,7 +485,7 @@
 
 void AdmissionController::targetNotReached(Instant now, const AttemptId& id, AdmissionActions& actions)
 {
-    LedgerEntry* entry = endRunning(id);
+    LedgerEntry* entry = endRunning(now, id);
     if (!entry)
         return;
     m_tenants.noteEnded(entry->tenant);
@@ -360,7 +495,7 @@
 
 void AdmissionController::targetRefused(Instant now, const AttemptId& id, AdmissionActions& actions)
 {
-    LedgerEntry* entry = endRunning(id);
+    LedgerEntry* entry = endRunning(now, id);
     if (!entry)
         return;
     m_tenants.noteEnded(entry->tenant);
@@ -368,8 +503,9 @@
     tick(now, actions);
 }
 
-void AdmissionController::noteReportedLoad(Instant, const ReportedLoad& load)
+void AdmissionController::noteReportedLoad(Instant now, const ReportedLoad& load)
 {
+    m_meter.setSlowness(load.slownessPercent, now);
     m_slownessPercent = load.slownessPercent;
 }
 
@@ -386,25 +522,28 @@
     actions.push_back(Reply { .link = link, .reply = makeRefusal(now, request.id, reason) });
 }
 
-// A tenant above its share comes back when the whole queue has drained, others when half of it has.
-Duration AdmissionController::retryAfter(RefusalReason reason) const
+// A tenant above its share comes back when the whole queue has drained, others when half of it has. Callers refused
+// one after the other come back one after the other, as fast as the target finishes calls.
+Duration AdmissionController::retryAfter(Instant now, RefusalReason reason)
 {
     bool passesWithTheQueue = reason == RefusalReason::QueueFull || reason == RefusalReason::TenantOverShare
         || reason == RefusalReason::DeadlineTooNear;
     if (!passesWithTheQueue || !m_slots)
         return {};
-    auto queued = static_cast<int64_t>(m_queue.size());
-    Duration drainTime = (queued + 1) * m_serviceTime.average() / m_slots;
-    return reason == RefusalReason::TenantOverShare ? drainTime : drainTime / 2;
+    Duration drainTime = waitBehind(waiting() + 1);
+    Duration wait = reason == RefusalReason::TenantOverShare ? drainTime : drainTime / 2;
+    m_nextReturn = std::max(m_nextReturn + waitBehind(1), now + wait);
+    m_nextReturn = std::min(m_nextReturn, now + maximumRetryAfter);
+    return m_nextReturn - now;
 }
 
-CallRefused AdmissionController::makeRefusal(Instant now, const AttemptId& id, RefusalReason reason) const
+CallRefused AdmissionController::makeRefusal(Instant now, const AttemptId& id, RefusalReason reason)
 {
-    return { .id = id, .reason = reason, .retryAfter = retryAfter(reason), .load = load(now) };
+    return { .id = id, .reason = reason, .retryAfter = retryAfter(now, reason), .load = load(now) };
 }
 
 // The entry must have ended.
-CallReply AdmissionController::makeReply(Instant now, const AttemptId& asked, const LedgerEntry& entry) const
+CallReply AdmissionController::makeReply(Instant now, const AttemptId& asked, const LedgerEntry& entry)
 {
     if (auto* finished = std::get_if<AttemptFinished>(&entry.state)) {
         return CallAnswered {
@@ -416,7 +555,7 @@
     return makeRefusal(now, asked, RefusalReason::RefusedBefore);
 }
 
-CallReply AdmissionController::makeReply(Instant now, const AttemptId& asked, const LedgerLookup& found) const
+CallReply AdmissionController::makeReply(Instant now, const AttemptId& asked, const LedgerLookup& found)
 {
     if (found.match == LedgerMatch::Known)
         return makeReply(now, asked, *found.entry);
@@ -463,9 +602,9 @@
 LoadReport AdmissionController::load(Instant now) const
 {
     return {
-        .slots = m_slots,
+        .slots = limit(),
         .running = toCount(m_running),
-        .queued = toCount(m_queue.size()),
+        .queued = toCount(waiting()),
         .serviceTime = m_serviceTime.average(),
         .slownessPercent = m_slownessPercent,
         .isWarmingUp = m_state == TargetState::Ready && now < m_warmUntil,
--- a/Source/Admission/AdmissionController.h
+++ b/Source/Admission/AdmissionController.h
@@ -4,12 +4,16 @@
 #include "Admission/AdmissionAction.h"
 #include "Admission/CallLedger.h"
 #include "Admission/CallQueue.h"
+#include "Admission/ConcurrencyLimit.h"
 #include "Admission/PauseGate.h"
+#include "Admission/RunMeter.h"
 #include "Admission/ServiceTimeEstimator.h"
 #include "Admission/TenantTable.h"
 #include "Base/Base.h"
 
+#include <list>
 #include <optional>
+#include <unordered_map>
 
 namespace Berylport {
 
@@ -21,6 +25,14 @@
     // Bodies of queued requests; at 1 MiB a request the queue limit alone would allow gigabytes.
     size_t maximumQueuedBytes { 32 * 1024 * 1024 };
     LedgerOptions ledger {};
+    // Runs fewer calls at once than the target has slots where that finishes more of them.
+    bool learnsConcurrency { false };
+    // A call that cannot be answered within its objective any more waits for a slot that no call in time wants, for
+    // this part of what is left from its objective to its deadline. Under a lasting overload such slots do not come,
+    // and the caller is better off with an early refusal.
+    double latePatience { 0.125 };
+    // A VM that is slower than its own long-term mean by this factor hands calls on that may be handed on.
+    double slowFactor { 1.5 };
 };
 
 // Load as the target itself reports it.
@@ -87,24 +99,44 @@
 
     void tick(Instant now, AdmissionActions&);
     // When tick has something to do, unless another input comes first.
-    std::optional<Instant> nextWake() const { return m_queue.earliestDeadline(); }
+    std::optional<Instant> nextWake() const;
 
     Result<ParentAllowance, RefusalReason> findParent(Instant now, const CallId&) const;
     // Takes up to the given number from the running parent for a nested call; returns how many.
     uint32_t takeRetryTokens(const CallId& parent, uint32_t wanted);
     void returnRetryTokens(const CallId& parent, uint32_t unused);
 
-    bool isDrained() const { return !m_running && m_queue.isEmpty(); }
+    bool isDrained() const { return !m_running && m_queue.isEmpty() && m_late.empty(); }
     bool areStartsHeld() const { return !m_gate.isOpen(); }
     LoadReport load(Instant now) const;
     const CallLedger& ledger() const { return m_ledger; }
 
 private:
+    // A call that is past its objective, or will be before it can run.
+    struct LateCall {
+        CallRequest request;
+        Instant giveUpAt;
+    };
+
     RequestKind strictestKind(const CallRequest&) const;
     RequestKind holdKind() const { return m_definition ? m_definition->kind : RequestKind::AtMostOnce; }
     std::optional<RefusalReason> findRefusal(Instant now, const CallRequest&) const;
     std::optional<RefusalReason> findStateRefusal() const;
+    bool isSlowNow() const;
     bool isTooLate(Instant now, const CallRequest&) const;
+    // Whether the call may wait; adds it to the late ones where it cannot be in time.
+    bool isInTime(Instant now, const CallRequest&) const;
+    bool mayWaitLate(Instant now, const CallRequest&) const;
+    void waitLate(Instant now, CallRequest);
+    // False when nothing was started or refused.
+    bool startLate(Instant now, AdmissionActions&);
+    void dropLate(Instant now, AdmissionActions&);
+    std::optional<CallRequest> takeLate(const AttemptId&);
+    Duration expectedTime(const CallRequest&) const;
+    Duration waitBehind(size_t calls) const;
+    // Calls that may run at once.
+    uint16_t limit() const;
+    size_t waiting() const { return m_queue.size() + m_late.size(); }
     std::optional<RefusalReason> makeRoom(Instant now, const CallRequest&, AdmissionActions&);
     uint32_t fairShare(const TenantName&) const;
     void admit(Instant now, LinkId, CallRequest, AdmissionActions&);
@@ -118,11 +150,13 @@
     void refuseUnknown(Instant now, LinkId, const CallRequest&, RefusalReason, AdmissionActions&);
     void cancelLive(Instant now, LedgerEntry&, AdmissionActions&);
     // Frees the slot of a running attempt; null when it is not running.
-    LedgerEntry* endRunning(const AttemptId&);
-    Duration retryAfter(RefusalReason) const;
-    CallRefused makeRefusal(Instant now, const AttemptId&, RefusalReason) const;
-    CallReply makeReply(Instant now, const AttemptId& asked, const LedgerEntry&) const;
-    CallReply makeReply(Instant now, const AttemptId& asked, const LedgerLookup&) const;
+    LedgerEntry* endRunning(Instant now, const AttemptId&);
+    // Learns from a run that is about to end.
+    void noteRun(Instant now, const AttemptId&, uint16_t status);
+    Duration retryAfter(Instant now, RefusalReason);
+    CallRefused makeRefusal(Instant now, const AttemptId&, RefusalReason);
+    CallReply makeReply(Instant now, const AttemptId& asked, const LedgerEntry&);
+    CallReply makeReply(Instant now, const AttemptId& asked, const LedgerLookup&);
 
     AdmissionOptions m_options;
     std::optional<ServiceDefinition> m_definition;
@@ -138,6 +172,18 @@
     uint16_t m_slownessPercent { 0 };
     TenantTable m_tenants;
     CallQueue m_queue;
+    // In the order in which they became late.
+    std::list<LateCall> m_late;
+    // When the caller refused last may come back; each gets a later moment.
+    Instant m_nextReturn;
+    ConcurrencyLimit m_concurrency;
+    RunMeter m_meter;
+    struct RunningCall {
+        std::string route;
+        RunMeter::Mark since;
+    };
+    // Every running attempt.
+    std::unordered_map<AttemptId, RunningCall> m_runs;
     PauseGate m_gate;
     CallLedger m_ledger;
 };
--- /dev/null
+++ b/Source/Admission/ConcurrencyLimit.h
@@ -0,0 +1,75 @@
+// Learns how many calls a target should run at once. Many servers work ever more slowly past some part of their slots,
+// so that more calls at once finish fewer in a second. Answers an overload: at low load the limit does not matter.
+//
+// Each finished call is compared with others of its route at the same speed of the VM, and the slowdown is kept by the
+// number of calls that ran beside it. The limit is the number with the most finished calls a second.
+#pragma once
+
+#include "Base/Time.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Berylport {
+
+class ConcurrencyLimit {
+public:
+    struct Options {
+        // Weight of a new sample: about 20 samples of a level outweigh what it was before.
+        double smoothing { 0.1 };
+        // A level is trusted after this many samples.
+        uint32_t minimumSamples { 12 };
+        // Levels up to this share of the slots are taken to run at full speed; the others are compared with them.
+        double fullSpeedShare { 0.5 };
+        // A lower limit must finish this much more, so that noise does not move it.
+        double minimumGain { 0.04 };
+        // What was learned of a level loses half of its weight in this time without samples, so that a limit that has
+        // become too low is tried again.
+        Duration forgetHalfLife { std::chrono::seconds(20) };
+    };
+
+    ConcurrencyLimit()
+        : ConcurrencyLimit(Options {})
+    {
+    }
+    explicit ConcurrencyLimit(const Options& options)
+        : m_options(options)
+    {
+    }
+
+    // Forgets everything when the number differs, as the target is another one.
+    void setSlots(uint16_t);
+    uint16_t limit() const { return m_limit; }
+
+    // The call ran for `elapsed` at the VM's usual speed, beside `concurrency` calls on average, itself included.
+    void noteFinished(const std::string& route, Duration elapsed, double concurrency, Instant now);
+
+    // Time that a call of the route takes at usual speed and full speed of the target; zero when unknown.
+    Duration baseTime(const std::string& route) const;
+
+private:
+    struct Level {
+        // Time of a call relative to the route's time at full speed.
+        double slowdown { 1 };
+        uint32_t samples { 0 };
+        Instant lastSample;
+    };
+    struct Route {
+        // Microseconds.
+        double baseTime { 0 };
+    };
+
+    double slowdownAt(size_t level, Instant now) const;
+    void chooseLimit(Instant now);
+
+    Options m_options;
+    uint16_t m_slots { 0 };
+    uint16_t m_limit { 0 };
+    // By number of calls at once; index zero is unused.
+    std::vector<Level> m_levels;
+    std::map<std::string, Route> m_routes;
+};
+
+} // namespace Berylport
--- a/Source/Base/CallMessages.cpp
+++ b/Source/Base/CallMessages.cpp
@@ -36,6 +36,8 @@
         return "unconfirmed";
     case RefusalReason::Overloaded:
         return "overloaded";
+    case RefusalReason::SlowNow:
+        return "slow-now";
     }
     return "unknown";
 }
--- a/Source/Base/CallMessages.h
+++ b/Source/Base/CallMessages.h
@@ -69,6 +69,10 @@
     HttpRequest http;
     // The caller's own name for the request, for logs. May be empty.
     std::string requestId {};
+    // Calls of one route cost a target about the same. Empty for services without routes.
+    std::string route {};
+    // The receiver may refuse it because its VM is slow just now; the sender then asks another node.
+    bool mayHandOn { false };
 };
 
 struct CallCancel {
@@ -101,7 +105,10 @@
     DepthExceeded,
     // The node has not confirmed that it holds the newest accepted configuration.
     Unconfirmed,
+    // The target itself refused it.
     Overloaded,
+    // The VM of the target is much slower than usual at this moment; another target would be faster.
+    SlowNow,
 };
 
 std::string_view toText(RefusalReason);
--- a/Source/Calls/CallActions.h
+++ b/Source/Calls/CallActions.h
@@ -25,6 +25,8 @@
     std::optional<CallId> parent;
     // The caller's own name for the request, for logs.
     std::string requestId {};
+    // Empty for services without routes.
+    std::string route {};
 };
 
 // Why the caller gets no answer of the target.
--- a/Source/Calls/CallCoordinator.cpp
+++ b/Source/Calls/CallCoordinator.cpp
@@ -56,6 +56,7 @@
     ++m_counters.calls;
     auto id = start.id;
     auto& call = m_calls.try_emplace(id, std::move(start)).first->second;
+    call.allowHandOns(m_options.maximumHandOns);
     route(call).retryBudget.noteCall();
     route(call).redispatchBudget.noteCall();
     schedule(call);
@@ -229,6 +230,8 @@
     attempt->state = AttemptPhase::NotRun;
     call->returnTokens(*attempt, 0);
     call->noteRefusal(refused.reason, refused.retryAfter);
+    if (refused.reason == RefusalReason::SlowNow)
+        call->noteHandOn();
     moveOnAfterNotRun(*call, now, actions);
 }
 
@@ -313,7 +316,8 @@
     auto selection = selectUntried(call, now);
     if (!selection)
         return false;
-    if (!route(call).redispatchBudget.tryTake(now)) {
+    bool isHandOn = call.lastRefusal() == RefusalReason::SlowNow;
+    if (!isHandOn && !route(call).redispatchBudget.tryTake(now)) {
         ++m_counters.budgetRefusals;
         return false;
     }
--- a/Source/Calls/CallOptions.h
+++ b/Source/Calls/CallOptions.h
@@ -17,6 +17,9 @@
     uint32_t maximumDepth { 32 };
     // Refusals after which the caller is answered at once.
     uint32_t maximumRefusals { 3 };
+    // Of these, refusals by targets that are slow just now. They are outside the redispatch budget: each costs one
+    // message and saves its caller the slow run.
+    uint32_t maximumHandOns { 0 };
     // A query without an answer is repeated after this time, which doubles each time up to the maximum.
     Duration firstQueryInterval { std::chrono::milliseconds(20) };
     Duration maximumQueryInterval { std::chrono::milliseconds(500) };
--- a/Source/Calls/PendingCall.cpp
+++ b/Source/Calls/PendingCall.cpp
@@ -35,6 +35,8 @@
         .depth = m_start.depth,
         .http = m_start.http,
         .requestId = m_start.requestId,
+        .route = m_start.route,
+        .mayHandOn = m_handOns > 0,
     };
 }
 
--- a/Source/Calls/PendingCall.h
+++ b/Source/Calls/PendingCall.h
@@ -77,6 +77,10 @@
     void keepAnswer(HttpResponse&& http) { m_keptAnswer = std::move(http); }
     std::optional<HttpResponse>& keptAnswer() { return m_keptAnswer; }
 
+    // How often receivers may still refuse because they are slow.
+    void allowHandOns(uint32_t n) { m_handOns = n; }
+    void noteHandOn() { m_handOns -= m_handOns > 0; }
+
     std::optional<Instant> hedgeAt;
     // Entry of this call in the coordinator's list.
     std::optional<WakeTimes::iterator> wakeEntry;
@@ -88,6 +92,7 @@
     std::vector<TargetId> m_triedTargets;
     // Tokens held here; those given to attempts are not among them.
     uint32_t m_tokens;
+    uint32_t m_handOns { 0 };
     uint32_t m_refusals { 0 };
     std::optional<RefusalReason> m_lastRefusal;
     Duration m_shortestRetryAfter {};
--- a/Source/Node/EntryTask.cpp
+++ b/Source/Node/EntryTask.cpp
@@ -13,6 +13,8 @@
 constexpr std::string_view ownPathPrefix = "/berylport/";
 // Attempts that one call may make, whatever its route says; a message between nodes carries no more.
 constexpr uint32_t maximumAttempts = 9;
+// With a quarter of the VMs slow at any time, the third target is slow as well in one call of 64.
+constexpr uint32_t maximumHandOns = 2;
 constexpr std::string_view actionPathPrefix = "/berylport/actions/";
 
 SelectionPolicy policyFor(std::string_view name)
@@ -36,6 +38,8 @@
     options.routing.policy = policyFor(context.settings.routing.policy);
     options.routing.otherZoneRoundTrip = context.settings.routing.crossZoneRoundTrip;
     options.seed = context.seed;
+    options.maximumHandOns = maximumHandOns;
+    options.maximumRefusals += maximumHandOns;
     return options;
 }
 
@@ -195,7 +199,8 @@
         .objective = now + treatment.objective,
         .retryTokens = definition.retryTokens,
         .parent = request.parent,
-        .requestId = request.requestId };
+        .requestId = request.requestId,
+        .route = treatment.route };
     Caller caller { .responder = std::move(responder),
         .span = std::move(span),
         .arrived = now,
--- a/Source/Node/LocalTarget.h
+++ b/Source/Node/LocalTarget.h
@@ -64,6 +64,9 @@
     std::string healthPath { "/health" };
     TargetProbe probe;
     bool isProbing { false };
+    // Newest call that arrived for it, and newest report of its load.
+    Instant lastOffer;
+    Instant lastLoad;
     std::unordered_map<AttemptId, SendHandle> running;
     // Number that admission gave to the last pause.
     uint64_t pause { 0 };
--- a/Source/Node/TargetTask.cpp
+++ b/Source/Node/TargetTask.cpp
@@ -16,6 +16,8 @@
 // Request and answer of a health read with their headers, and the processor time of both.
 constexpr uint64_t probeBytes = 300;
 constexpr Duration probeCpu = std::chrono::microseconds(100);
+// The speed of a VM is read for this long after the last call that arrived for its target.
+constexpr Duration loadReadMemory = std::chrono::seconds(1);
 constexpr Duration probeTimeout = std::chrono::milliseconds(500);
 
 // A target waits about a second for the answer to its announcement. A store that takes longer than this must not cost
@@ -136,6 +138,7 @@
     LocalTarget& target = findOrCreate(offer.request.service);
     AttemptId id = offer.request.id;
     m_budget.noteCallBytes(bytesOf(offer.request.http), steadyNow());
+    target.lastOffer = steadyNow();
     auto parent = findHeader(offer.request.http.headers, Header::traceParent).value_or(std::string_view());
     std::shared_ptr<opentracing::Span> span = startSpan(*m_context.tracer, "admission", parent);
     span->SetTag("service", offer.request.service.text);
@@ -553,10 +556,8 @@
     logTargetAnswer(target, id, result);
     if (auto* response = std::get_if<HttpResponse>(&result)) {
         m_budget.noteCallBytes(bytesOf(*response), now);
-        auto report = dialect().readTargetAnswer(*response);
-        if (report.load)
-            target.admission.noteReportedLoad(now, *report.load);
-        if (report.hasNotRun) {
+        noteReport(target, *response, now);
+        if (dialect().readTargetAnswer(*response).hasNotRun) {
             target.admission.targetRefused(now, id, actions);
             perform(target, actions);
             updateStatus();
@@ -624,6 +625,24 @@
     }
 }
 
+void TargetTask::noteReport(LocalTarget& target, const HttpResponse& response, Instant now)
+{
+    auto report = dialect().readTargetAnswer(response);
+    if (!report.load)
+        return;
+    target.lastLoad = now;
+    target.admission.noteReportedLoad(now, *report.load);
+}
+
+std::optional<Instant> TargetTask::nextLoadRead(const LocalTarget& target, Instant now) const
+{
+    uint32_t rate = m_context.settings.measure.loadReadsPerSecond;
+    bool isReadable = rate && target.client && target.announcement && target.lastLoad != Instant();
+    if (!isReadable || now - target.lastOffer >= loadReadMemory)
+        return std::nullopt;
+    return target.lastLoad + std::chrono::microseconds(std::chrono::seconds(1)) / rate;
+}
+
 void TargetTask::probe(LocalTarget& target, Instant now)
 {
     target.probe.noteReadStarted(now);
@@ -635,10 +654,8 @@
             target.isProbing = false;
             auto* response = std::get_if<HttpResponse>(&result);
             HealthResult health = HealthResult::Unreadable;
-            if (response) {
-                if (auto report = dialect().readTargetAnswer(*response); report.load)
-                    target.admission.noteReportedLoad(steadyNow(), *report.load);
-            }
+            if (response)
+                noteReport(target, *response, steadyNow());
             if (response)
                 health = response->status == 200 ? HealthResult::Good : HealthResult::Bad;
             target.probe.noteHealth(health, steadyNow());
@@ -658,6 +675,15 @@
         probeTargets(now);
     }
     Instant next = m_nextCheck;
+    for (auto& [service, target] : m_targets) {
+        auto due = nextLoadRead(*target, now);
+        if (!due || target->isProbing)
+            continue;
+        if (*due <= now)
+            probe(*target, now);
+        else
+            next = std::min(next, *due);
+    }
     while (!m_acknowledgements.empty() && m_acknowledgements.front().deadline <= now) {
         m_acknowledgements.front().responder.answer(dialect().acknowledge(TargetState::Draining));
         m_acknowledgements.pop_front();
--- a/Source/Node/TargetTask.h
+++ b/Source/Node/TargetTask.h
@@ -75,6 +75,9 @@
     void checkAnnouncements(Instant now);
     void probeTargets(Instant now);
     void probe(LocalTarget&, Instant now);
+    void noteReport(LocalTarget&, const HttpResponse&, Instant now);
+    // When the speed of the target's VM is to be read again; nothing while no calls arrive for it.
+    std::optional<Instant> nextLoadRead(const LocalTarget&, Instant now) const;
     void wake();
     void updateStatus();
 
--- a/Source/Peer/PeerCodec.cpp
+++ b/Source/Peer/PeerCodec.cpp
@@ -21,6 +21,7 @@
 constexpr size_t maximumTargetLength = 16 * 1024;
 constexpr size_t maximumReasonLength = 1024;
 constexpr size_t maximumRequestId = 256;
+constexpr size_t maximumRouteName = 256;
 constexpr size_t maximumDocument = 1024 * 1024;
 constexpr uint32_t maximumDepth = 32;
 constexpr uint32_t maximumRetryTokens = 8;
@@ -34,7 +35,7 @@
 
 static_assert(static_cast<int>(Schema::RequestKind::PATIENT) == static_cast<int>(RequestKind::Patient));
 static_assert(static_cast<int>(Schema::Priority::BULK) == static_cast<int>(Priority::Bulk));
-static_assert(static_cast<int>(Schema::RefusalReason::OVERLOADED) == static_cast<int>(RefusalReason::Overloaded));
+static_assert(static_cast<int>(Schema::RefusalReason::SLOW_NOW) == static_cast<int>(RefusalReason::SlowNow));
 static_assert(static_cast<int>(Schema::RefusalReason::DRAINING) == static_cast<int>(RefusalReason::Draining));
 static_assert(static_cast<int>(Schema::LossReason::ANSWER_DROPPED) == static_cast<int>(LossReason::AnswerDropped));
 
@@ -182,7 +183,7 @@
 {
     CallRefused reply;
     reply.id = id;
-    reply.reason = readEnum(reader.getReason(), RefusalReason::Overloaded);
+    reply.reason = readEnum(reader.getReason(), RefusalReason::SlowNow);
     uint64_t retryAfter = reader.getRetryAfterMicroseconds();
     require(retryAfter <= static_cast<uint64_t>(maximumRetryAfter.count()), "retry-after out of range");
     reply.retryAfter = Duration(static_cast<int64_t>(retryAfter));
@@ -271,6 +272,8 @@
     builder.setDeadline(toMicroseconds(request.deadline));
     builder.setObjective(toMicroseconds(request.objective));
     builder.setRequestId(textOf(request.requestId));
+    builder.setRoute(textOf(request.route));
+    builder.setMayHandOn(request.mayHandOn);
     builder.setRetryTokens(request.retryTokens);
     builder.setDepth(request.depth);
     auto http = builder.initHttp();
@@ -348,6 +351,8 @@
         request.deadline = clockTime(reader.getDeadline());
         request.objective = clockTime(reader.getObjective());
         request.requestId = readText(reader.getRequestId(), maximumRequestId);
+        request.route = readText(reader.getRoute(), maximumRouteName);
+        request.mayHandOn = reader.getMayHandOn();
         request.retryTokens = reader.getRetryTokens();
         request.depth = reader.getDepth();
         require(request.retryTokens <= maximumRetryTokens, "too many retry tokens");
--- a/Source/Routing/TargetView.cpp
+++ b/Source/Routing/TargetView.cpp
@@ -33,13 +33,20 @@
     auto serviceTime = static_cast<double>(options.assumedServiceTime.count());
     if (load.serviceTime > Duration::zero())
         serviceTime = static_cast<double>(load.serviceTime.count());
+    // What the VM was like at the report is forgotten as fast as its load.
+    if (reportedAt && load.slownessPercent > 100) {
+        auto age = static_cast<double>((now - *reportedAt).count());
+        double freshness = std::exp2(-age / static_cast<double>(policy.reportHalfLife.count()));
+        serviceTime *= 1 + (load.slownessPercent / 100.0 - 1) * freshness;
+    }
     // A target may report a service time that its callers do not see.
     if (answers)
         serviceTime = (serviceTime + static_cast<double>(latency.count())) / 2;
     // A target that has stopped answering is slow before any slow answer arrives.
     if (outstanding)
         serviceTime = std::max(serviceTime, static_cast<double>((now - silentSince - extraRoundTrip).count()));
-    double slots = std::max<double>(record.slots, 1);
+    // The target's node may let fewer run than the target has slots.
+    double slots = std::max<double>(load.slots ? load.slots : record.slots, 1);
     double occupied = estimatedLoad(policy, meanLoad, now);
     double waiting = policy.queueWeight * std::max(0.0, occupied + 1 - slots) / slots;
     double factor = 1 + waiting + policy.occupancyWeight * std::min(1.0, occupied / slots);
--- a/Source/Schema/Generated/Peer.capnp.h
+++ b/Source/Schema/Generated/Peer.capnp.h
@@ -51,6 +51,7 @@
   DEPTH_EXCEEDED,
   UNCONFIRMED,
   OVERLOADED,
+  SLOW_NOW,
 };
 CAPNP_DECLARE_ENUM(RefusalReason, 8319083cb7784206);
 CAPNP_DECLARE_SCHEMA(96c77f54b897e4f8);
@@ -200,7 +201,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9e198d116e30ff07, 5, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(9e198d116e30ff07, 5, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1149,6 +1150,11 @@
   inline bool hasRequestId() const;
   inline  ::capnp::Text::Reader getRequestId() const;
 
+  inline bool hasRoute() const;
+  inline  ::capnp::Text::Reader getRoute() const;
+
+  inline bool getMayHandOn() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1233,6 +1239,16 @@
   inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
 
+  inline bool hasRoute();
+  inline  ::capnp::Text::Builder getRoute();
+  inline void setRoute( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRoute(unsigned int size);
+  inline void adoptRoute(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRoute();
+
+  inline bool getMayHandOn();
+  inline void setMayHandOn(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4209,6 +4225,54 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool CallRequest::Reader::hasRoute() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool CallRequest::Builder::hasRoute() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CallRequest::Reader::getRoute() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CallRequest::Builder::getRoute() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void CallRequest::Builder::setRoute( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CallRequest::Builder::initRoute(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void CallRequest::Builder::adoptRoute(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CallRequest::Builder::disownRoute() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool CallRequest::Reader::getMayHandOn() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<224>() * ::capnp::ELEMENTS);
+}
+
+inline bool CallRequest::Builder::getMayHandOn() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<224>() * ::capnp::ELEMENTS);
+}
+inline void CallRequest::Builder::setMayHandOn(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<224>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CallQuery::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Source/Schema/Peer.capnp
+++ b/Source/Schema/Peer.capnp
@@ -38,6 +38,7 @@
   depthExceeded @12;
   unconfirmed @13;
   overloaded @14;
+  slowNow @15;
 }
 
 enum LossReason {
@@ -96,6 +97,10 @@
   objective @10 :Int64;
   # The caller's own name for the request, for logs.
   requestId @11 :Text;
+  # Calls of one route cost a target about the same. Empty for services without routes.
+  route @12 :Text;
+  # The receiver may refuse it because its VM is slow just now; the sender then asks another node.
+  mayHandOn @13 :Bool;
 }
 
 struct CallQuery {
--- a/Source/Settings/NodeSettings.h
+++ b/Source/Settings/NodeSettings.h
@@ -90,6 +90,9 @@
     // Share of the calls' own bytes, and of one core.
     double byteShare { 0.01 };
     double cpuShare { 0.005 };
+    // Reads of the health path of a target that reports the speed of its VM, while calls arrive for it. They stay on
+    // the VM. Zero: health is read within the budget above only.
+    uint32_t loadReadsPerSecond { 0 };
 };
 
 struct LogSection {
