Test the platform's adapter and the new decisions; give slow services a taker

Writing them showed two faults: the run meter took the time before its first input for a stopped VM, and a call that every target of a small service had handed on was refused although their slots were free.

--- a/Source/Admission/RunMeter.h
+++ b/Source/Admission/RunMeter.h
@@ -5,6 +5,7 @@
 #include "Base/Time.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace Berylport {
 
@@ -57,15 +58,15 @@
     }
     void advance(Instant now)
     {
-        double seconds = std::chrono::duration<double>(now - m_at).count();
-        if (m_at != Instant() && seconds > 0) {
+        double seconds = m_at ? std::chrono::duration<double>(now - *m_at).count() : 0;
+        if (seconds > 0) {
             m_runningSeconds += seconds * m_running;
             m_slownessSeconds += seconds * m_slowness;
         }
         m_at = now;
     }
 
-    Instant m_at;
+    std::optional<Instant> m_at;
     double m_running { 0 };
     double m_slowness { 1 };
     double m_meanSlowness { 1 };
--- a/Source/Calls/CallCoordinator.cpp
+++ b/Source/Calls/CallCoordinator.cpp
@@ -313,10 +313,15 @@
         return false;
     if (!hasTimeForAttempt(call, now))
         return false;
+    bool isHandOn = call.lastRefusal() == RefusalReason::SlowNow;
     auto selection = selectUntried(call, now);
+    if (!selection && isHandOn) {
+        // All are slow, so one of them has to take it.
+        call.allowHandOns(0);
+        selection = selectForRetry(call, now);
+    }
     if (!selection)
         return false;
-    bool isHandOn = call.lastRefusal() == RefusalReason::SlowNow;
     if (!isHandOn && !route(call).redispatchBudget.tryTake(now)) {
         ++m_counters.budgetRefusals;
         return false;
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -34,6 +34,7 @@
 step "packages" scripts/install-packages.sh
 if [ "$lint" = yes ]; then
     step "format" scripts/check-format.sh
+    step "wire names" scripts/check-wire-names.sh
 fi
 step "configure" cmake -S . -B build -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo
 step "build" cmake --build build
--- /dev/null
+++ b/tests/Admission/ObjectiveTest.cpp
@@ -0,0 +1,111 @@
+// Guards against an overload in which every caller is served, and every one too late.
+#include "Admission/AdmissionHelper.h"
+
+using namespace Berylport;
+using namespace std::chrono_literals;
+
+namespace {
+
+class ObjectiveTest : public testing::Test {
+protected:
+    static constexpr Duration work = 100ms;
+
+    // One slot that is busy, with a known service time.
+    ObjectiveTest()
+        : m_bench({ .slots = 1 }, { .name = testService(), .kind = RequestKind::Idempotent })
+    {
+        for (uint64_t n = 100; n < 110; ++n) {
+            m_bench.offer(attemptOf(n));
+            m_bench.advance(work);
+            m_bench.answer(attemptOf(n));
+        }
+        m_bench.offer(attemptOf(1));
+    }
+
+    AdmissionActions& offer(uint64_t call, Duration objective, Duration deadline = 2s)
+    {
+        auto request = makeRequest(attemptOf(call), m_bench.now + deadline, { .kind = RequestKind::Idempotent });
+        request.objective = m_bench.now + objective;
+        return m_bench.run(
+            [&] { m_bench.controller->offer(m_bench.now, firstLink, std::move(request), m_bench.actions); });
+    }
+
+    AdmissionBench m_bench;
+};
+
+} // namespace
+
+TEST_F(ObjectiveTest, WhatCannotBeInTimeIsRefusedAtOnceWithATimeToReturn)
+{
+    EXPECT_TRUE(offer(2, 500ms).empty());
+    EXPECT_TRUE(offer(3, 500ms).empty());
+    EXPECT_TRUE(offer(4, 500ms).empty());
+    // Behind three others it would be answered after 500 ms at the earliest.
+    auto& actions = offer(5, 300ms, 600ms);
+    ASSERT_EQ(refusalsIn(actions), std::vector { RefusalReason::QueueFull });
+    EXPECT_GT(repliesIn<CallRefused>(actions)[0].retryAfter, Duration::zero());
+}
+
+// If all came back at one moment they would be refused together again.
+TEST_F(ObjectiveTest, CallersRefusedTogetherComeBackOneAfterTheOther)
+{
+    for (uint64_t n = 2; n < 6; ++n)
+        offer(n, 500ms);
+    Duration last {};
+    for (uint64_t n = 10; n < 14; ++n) {
+        auto refused = repliesIn<CallRefused>(offer(n, 200ms, 400ms));
+        ASSERT_EQ(refused.size(), 1u);
+        EXPECT_GE(refused[0].retryAfter - last, work / 2);
+        last = refused[0].retryAfter;
+    }
+}
+
+TEST_F(ObjectiveTest, ASlotGoesToACallThatCanStillBeInTime)
+{
+    offer(2, 250ms);
+    offer(3, 900ms);
+    // The running call takes much longer than expected: call 2 has become late, call 3 has not.
+    m_bench.advance(300ms);
+    EXPECT_EQ(startsIn(m_bench.answer(attemptOf(1))), std::vector { attemptOf(3) });
+    EXPECT_EQ(startsIn(m_bench.answer(attemptOf(3))), std::vector { attemptOf(2) });
+}
+
+// A late call is not held back until its deadline when no slot becomes free for it.
+TEST_F(ObjectiveTest, ALateCallIsRefusedSoonerThanItsDeadline)
+{
+    offer(2, 250ms);
+    offer(3, 900ms);
+    m_bench.advance(300ms);
+    m_bench.answer(attemptOf(1));
+    auto& actions = m_bench.advance(300ms);
+    EXPECT_EQ(refusalsIn(actions), std::vector { RefusalReason::QueueFull });
+}
+
+TEST_F(ObjectiveTest, WithAFreeSlotEvenALateCallRuns)
+{
+    m_bench.answer(attemptOf(1));
+    EXPECT_EQ(startsIn(offer(2, 1ms)), std::vector { attemptOf(2) });
+}
+
+TEST_F(ObjectiveTest, ASlowVmHandsOnOnlyWhatMayBeHandedOn)
+{
+    m_bench.answer(attemptOf(1));
+    m_bench.controller->noteReportedLoad(m_bench.now, { .slots = 1, .slownessPercent = 400 });
+    auto request = makeRequest(attemptOf(2), m_bench.now + 2s, { .kind = RequestKind::Idempotent });
+    request.mayHandOn = true;
+    m_bench.run([&] { m_bench.controller->offer(m_bench.now, firstLink, request, m_bench.actions); });
+    EXPECT_EQ(refusalsIn(m_bench.actions), std::vector { RefusalReason::SlowNow });
+    EXPECT_EQ(startsIn(offer(3, 500ms)), std::vector { attemptOf(3) });
+}
+
+// A VM that is always slow is as fast as it can be; handing on would only move its work to others for ever.
+TEST_F(ObjectiveTest, AVmThatIsAlwaysSlowTakesItsWork)
+{
+    m_bench.answer(attemptOf(1));
+    for (int n = 0; n < 200; ++n)
+        m_bench.controller->noteReportedLoad(m_bench.now += 20ms, { .slots = 1, .slownessPercent = 400 });
+    auto request = makeRequest(attemptOf(2), m_bench.now + 2s, { .kind = RequestKind::Idempotent });
+    request.mayHandOn = true;
+    m_bench.run([&] { m_bench.controller->offer(m_bench.now, firstLink, request, m_bench.actions); });
+    EXPECT_EQ(startsIn(m_bench.actions), std::vector { attemptOf(2) });
+}
--- a/tests/Calls/CallCoordinatorTest.cpp
+++ b/tests/Calls/CallCoordinatorTest.cpp
@@ -137,6 +137,25 @@
     EXPECT_EQ(answer.attempts, 3u);
 }
 
+// Guards against calls that run on a VM that is slow at this moment while others are not, and against calls that nobody
+// takes because all are.
+TEST_F(CallCoordinatorTest, SlowTargetsHandACallOnUntilOneHasToTakeIt)
+{
+    auto options = makeOptions();
+    options.maximumHandOns = 2;
+    m_coordinator = CallCoordinator(options);
+    useTargets(2);
+    auto sent = start(makeCall(1, RequestKind::AtMostOnce, at(10s)), at(0s));
+    EXPECT_TRUE(sent.request.mayHandOn);
+    auto second = allOf<SendAttempt>(reply(makeRefusal(sent.request.id, {}, RefusalReason::SlowNow), at(1ms)));
+    ASSERT_EQ(second.size(), 1u);
+    EXPECT_NE(second[0].target, sent.target);
+    EXPECT_TRUE(second[0].request.mayHandOn);
+    auto third = allOf<SendAttempt>(reply(makeRefusal(second[0].request.id, {}, RefusalReason::SlowNow), at(2ms)));
+    ASSERT_EQ(third.size(), 1u);
+    EXPECT_FALSE(third[0].request.mayHandOn);
+}
+
 // Guards against overload hidden by endless re-dispatching.
 TEST_F(CallCoordinatorTest, RedispatchesWithinTheBudget)
 {
--- /dev/null
+++ b/tests/Configuration/SourceFollowerTest.cpp
@@ -0,0 +1,110 @@
+// Guards against a node that misses a change, floods a store that is down, or goes back to an older configuration.
+#include "Configuration/Configuration.h"
+
+#include <gtest/gtest.h>
+
+using namespace Berylport;
+using namespace std::chrono_literals;
+
+namespace {
+
+class SourceFollowerTest : public testing::Test {
+protected:
+    template <typename Action> std::vector<Action> take()
+    {
+        std::vector<Action> found;
+        for (auto& it : m_actions) {
+            if (auto* action = std::get_if<Action>(&it))
+                found.push_back(*action);
+        }
+        m_actions.clear();
+        return found;
+    }
+
+    void advance(Duration duration)
+    {
+        m_now += duration;
+        m_follower.tick(m_now, m_actions);
+    }
+
+    Instant m_now = instantFromMicroseconds(0);
+    std::vector<FollowerAction> m_actions;
+    SourceFollower m_follower { SourceFollower::Options {} };
+};
+
+} // namespace
+
+TEST_F(SourceFollowerTest, FollowsFromThePositionOfTheLastAnswer)
+{
+    m_follower.start(m_now, m_actions);
+    EXPECT_EQ(take<ReadSource>().size(), 1u);
+    m_follower.sourceAnswered(40, m_actions);
+    EXPECT_EQ(take<FollowSource>().at(0).position, 40u);
+    m_follower.sourceAnswered(45, m_actions);
+    EXPECT_EQ(take<FollowSource>().at(0).position, 45u);
+}
+
+// Following must go on where it stopped, or a change during the outage would be lost.
+TEST_F(SourceFollowerTest, AfterAnOutageItFollowsFromTheSamePosition)
+{
+    m_follower.sourceAnswered(40, m_actions);
+    m_actions.clear();
+    m_follower.sourceFailed(m_now);
+    EXPECT_FALSE(m_follower.isSourceReachable());
+    advance(1s);
+    EXPECT_EQ(take<FollowSource>().at(0).position, 40u);
+    m_follower.sourceAnswered(41, m_actions);
+    EXPECT_TRUE(m_follower.isSourceReachable());
+}
+
+// Every node of a fleet asks: an outage must neither be met with a flood nor be noticed late when it ends.
+TEST_F(SourceFollowerTest, RetriesAtMostAboutTwiceASecondAndAtLeastOnceASecond)
+{
+    int asked = 0;
+    m_follower.sourceAnswered(1, m_actions);
+    m_actions.clear();
+    m_follower.sourceFailed(m_now);
+    for (Duration passed {}; passed < 20s; passed += 10ms) {
+        advance(10ms);
+        if (take<FollowSource>().empty())
+            continue;
+        ++asked;
+        m_follower.sourceFailed(m_now);
+    }
+    EXPECT_GE(asked, 20);
+    EXPECT_LE(asked, 44);
+}
+
+TEST_F(SourceFollowerTest, ForgottenHistoryIsReadAsAWhole)
+{
+    m_follower.sourceAnswered(40, m_actions);
+    m_actions.clear();
+    m_follower.historyLost(m_now, m_actions);
+    advance(1s);
+    EXPECT_EQ(take<ReadSource>().size(), 1u);
+}
+
+TEST_F(SourceFollowerTest, VersionsNeverGoBack)
+{
+    EXPECT_TRUE(m_follower.adopt(7));
+    EXPECT_FALSE(m_follower.adopt(5));
+    EXPECT_FALSE(m_follower.adopt(7));
+    EXPECT_EQ(m_follower.version(), 7u);
+}
+
+// A node that the store turns away learns from its peers; a new version costs one fetch, not one for each peer.
+TEST_F(SourceFollowerTest, FetchesANewerVersionOnceAndFromAnotherPeerWhenOneFails)
+{
+    m_follower.adopt(7);
+    m_follower.peerHolds(NodeId { 1 }, 7, m_now, m_actions);
+    EXPECT_TRUE(take<FetchFromPeer>().empty());
+    m_follower.peerHolds(NodeId { 1 }, 8, m_now, m_actions);
+    m_follower.peerHolds(NodeId { 2 }, 8, m_now, m_actions);
+    EXPECT_EQ(take<FetchFromPeer>().size(), 1u);
+    m_follower.fetchEnded();
+    m_follower.peerHolds(NodeId { 2 }, 8, m_now, m_actions);
+    EXPECT_EQ(take<FetchFromPeer>().at(0).node, NodeId { 2 });
+    m_now += 1s;
+    m_follower.peerHolds(NodeId { 3 }, 8, m_now, m_actions);
+    EXPECT_EQ(take<FetchFromPeer>().at(0).node, NodeId { 3 });
+}
--- a/tests/Http/TargetClientTest.cpp
+++ b/tests/Http/TargetClientTest.cpp
@@ -89,6 +89,22 @@
 
 constexpr std::string_view okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
+// Guards against the answer of an earlier request, which a target sends late, being given to the caller of this one.
+TEST_F(TargetClientTest, SkipsAnAnswerThatBelongsToAnotherRequest)
+{
+    start();
+    SendOptions options { .deadline = steadyNow() + longTime };
+    options.isOwnAnswer = [](const HttpResponse& it) { return findHeader(it.headers, "X-Id") == "mine"; };
+    send(request("POST", "/a", "body"), options);
+    ASSERT_TRUE(accept());
+    ASSERT_TRUE(waitForBytes(m_accepted[0], "body"));
+    m_accepted[0].send("HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 5\r\n\r\nother"
+                       "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 2\r\n\r\nok");
+    ASSERT_TRUE(waitForResult(0));
+    ASSERT_TRUE(answerOf(0));
+    EXPECT_EQ(answerOf(0)->body, "ok");
+}
+
 // Guards against a request that is changed on its way, and an answer that is.
 TEST_F(TargetClientTest, SendsTheWholeRequestAndReadsTheWholeAnswer)
 {
--- /dev/null
+++ b/tests/PlatformAdapter/StoreTest.cpp
@@ -0,0 +1,109 @@
+// The store's calls over real sockets: what comes back as rows, as a change, and as which error.
+#include "FakeStore.h"
+#include "Http/LoopTest.h"
+#include "platform/PlatformStore.h"
+
+using namespace Berylport;
+using namespace Berylport::Wire;
+using namespace std::chrono_literals;
+
+namespace {
+
+class StoreTest : public LoopTest {
+protected:
+    StoreTest()
+    {
+        m_settings.platform.store = m_store.endpoint();
+        m_settings.platform.timeout = 300ms;
+        m_ports = connectPlatformStore(base(), m_settings, 1);
+    }
+
+    template <typename T> Completion<T> into(std::optional<PlatformResult<T>>& result)
+    {
+        return [&result](Instant, PlatformResult<T> it) { result = std::move(it); };
+    }
+    template <typename T> PlatformResult<T> wait(std::optional<PlatformResult<T>>& result)
+    {
+        EXPECT_TRUE(runUntil([&] { return result.has_value(); }));
+        return *std::exchange(result, std::nullopt);
+    }
+    PlatformResult<std::vector<TableRow>> list()
+    {
+        std::optional<PlatformResult<std::vector<TableRow>>> result;
+        m_ports.rows->list("nodes", into(result));
+        return wait(result);
+    }
+    PlatformResult<ConfigurationSnapshot> follow(uint64_t position)
+    {
+        std::optional<PlatformResult<ConfigurationSnapshot>> result;
+        m_ports.configuration->follow(position, 1s, into(result));
+        return wait(result);
+    }
+    PlatformResult<ConfigurationSnapshot> read()
+    {
+        std::optional<PlatformResult<ConfigurationSnapshot>> result;
+        m_ports.configuration->read(into(result));
+        return wait(result);
+    }
+
+    FakeStore m_store { base() };
+    NodeSettings m_settings;
+    StorePorts m_ports;
+};
+
+} // namespace
+
+TEST_F(StoreTest, RowsComeBackAsTheyWereWritten)
+{
+    std::optional<PlatformResult<Done>> written;
+    m_ports.rows->put("nodes", "sidecar-\"a\" 1", "text with \n and \x01", into(written));
+    EXPECT_TRUE(wait(written).has_value());
+    auto rows = list();
+    ASSERT_EQ(rows.value().size(), 1u);
+    EXPECT_EQ(rows.value()[0].key, "sidecar-\"a\" 1");
+    EXPECT_EQ(rows.value()[0].value, "text with \n and \x01");
+}
+
+// A fleet larger than one answer must not be cut off at the first page.
+TEST_F(StoreTest, ListsEveryPage)
+{
+    m_store.page = 2;
+    for (int n = 0; n < 7; ++n)
+        m_store.write("nodes", "n" + std::to_string(n), "x");
+    m_store.write("other", "m", "x");
+    EXPECT_EQ(list().value().size(), 7u);
+}
+
+TEST_F(StoreTest, AChangeAnswersTheFollowerWithTheNewestDocument)
+{
+    m_store.write("op", "config", "one");
+    auto first = read();
+    EXPECT_EQ(first.value().document, "one");
+    std::optional<PlatformResult<ConfigurationSnapshot>> result;
+    m_ports.configuration->follow(first.value().position, 5s, into(result));
+    runFor(50ms);
+    EXPECT_FALSE(result);
+    m_store.write("op", "unrelated", "x");
+    EXPECT_EQ(wait(result).value().document, std::nullopt);
+    m_store.write("op", "config", "two");
+    EXPECT_EQ(follow(first.value().position).value().document, "two");
+}
+
+TEST_F(StoreTest, EachRefusalHasItsOwnError)
+{
+    m_store.forgetHistory();
+    EXPECT_EQ(follow(0).error().code, PlatformErrorCode::HistoryLost);
+    m_store.status = 429;
+    EXPECT_EQ(read().error().code, PlatformErrorCode::Throttled);
+    m_store.status = 503;
+    EXPECT_EQ(read().error().code, PlatformErrorCode::Unavailable);
+    m_store.status = 200;
+    EXPECT_EQ(read().error().code, PlatformErrorCode::Malformed);
+}
+
+// A silent store must not hold the node for ever.
+TEST_F(StoreTest, SilenceEndsWithATimeout)
+{
+    m_store.isSilent = true;
+    EXPECT_EQ(read().error().code, PlatformErrorCode::Timeout);
+}
