--- a/Source/Calls/CallBudget.cpp
+++ b/Source/Calls/CallBudget.cpp
@@ -11,6 +11,26 @@
 {
 }
 
+CallBudget::Options CallBudget::partOf(const FleetBudget& fleet, size_t nodes)
+{
+    constexpr double savedShare = 0.5;
+    constexpr double steadyShare = 0.2;
+    double part = fleet.extra / static_cast<double>(std::max<size_t>(nodes, 1));
+    double seconds = std::max(std::chrono::duration<double>(fleet.window).count(), 1.0);
+    // Below one token nothing could ever be spent.
+    double burst = std::max(savedShare * part, 1.0);
+    return {
+        .share = fleet.share, .floorPerSecond = steadyShare * part / seconds, .shareBurst = burst, .floorBurst = burst
+    };
+}
+
+void CallBudget::setOptions(const Options& options)
+{
+    m_options = options;
+    m_shareTokens = std::min(m_shareTokens, options.shareBurst);
+    m_floorTokens = std::min(m_floorTokens, options.floorBurst);
+}
+
 void CallBudget::noteCall() { m_shareTokens = std::min(m_shareTokens + m_options.share, m_options.shareBurst); }
 
 void CallBudget::refill(Instant now)
--- a/Source/Calls/CallBudget.h
+++ b/Source/Calls/CallBudget.h
@@ -7,6 +7,15 @@
 
 // Two token buckets, one filled by calls and one by time. An extra attempt needs a token in either and is charged to
 // both, so the rate is the larger of the two and not their sum.
+// What all nodes of a fleet together may add.
+struct FleetBudget {
+    // Extra attempts per call.
+    double share { 0.10 };
+    // Extra attempts beyond the share that all nodes may make within the window.
+    uint32_t extra { 60 };
+    Duration window { std::chrono::seconds(10) };
+};
+
 class CallBudget {
 public:
     struct Options {
@@ -19,11 +28,19 @@
         double floorBurst { 3 };
     };
 
+    // One node's part of a fleet's budget. Each node may spend all that it has saved up within one window, so savings
+    // of all nodes together stay below half of the extra attempts, and the steady part takes a fifth of them.
+    static Options partOf(const FleetBudget&, size_t nodes);
+
     explicit CallBudget(Options);
 
+    // What is saved up beyond the new bursts is lost.
+    void setOptions(const Options&);
     void noteCall();
     bool tryTake(Instant now);
 
+    const Options& options() const { return m_options; }
+
 private:
     void refill(Instant now);
 
--- a/Source/Calls/CallCoordinator.cpp
+++ b/Source/Calls/CallCoordinator.cpp
@@ -190,7 +190,8 @@
     }
     noteAnswer(*call, *attempt, answered, now);
     auto http = answered.http;
-    if (!call->isIdempotent() || !isRetryableStatus(http.status))
+    bool mayImprove = isRetryableStatus(http.status) || (m_options.retriesServerErrors && http.status == 500);
+    if (!call->isIdempotent() || !mayImprove)
         return finish(*call, std::move(http), now, actions);
     call->keepAnswer(std::move(http));
     if (call->hasLiveAttempt() || tryRetry(*call, now, actions))
@@ -322,7 +323,10 @@
     }
     if (!selection)
         return false;
-    if (!isHandOn && !route(call).redispatchBudget.tryTake(now)) {
+    // A refusal by the target itself was an arrival there, as a retry is.
+    bool hasReachedTarget = call.lastRefusal() == RefusalReason::Overloaded;
+    auto& budget = hasReachedTarget ? route(call).retryBudget : route(call).redispatchBudget;
+    if (!isHandOn && !budget.tryTake(now)) {
         ++m_counters.budgetRefusals;
         return false;
     }
--- a/Source/Calls/CallOptions.h
+++ b/Source/Calls/CallOptions.h
@@ -23,6 +23,9 @@
     // A query without an answer is repeated after this time, which doubles each time up to the maximum.
     Duration firstQueryInterval { std::chrono::milliseconds(20) };
     Duration maximumQueryInterval { std::chrono::milliseconds(500) };
+    // Whether an idempotent call is tried again after a target's own failure (500). Callers that would repeat it
+    // themselves lose less time so.
+    bool retriesServerErrors { false };
     // Told to the caller when no refusal named a time.
     Duration defaultRetryAfter { std::chrono::milliseconds(500) };
     uint64_t seed { 1 };
--- a/Source/Calls/RouteTable.cpp
+++ b/Source/Calls/RouteTable.cpp
@@ -17,4 +17,11 @@
 
 ServiceRoute& RouteTable::route(const ServiceName& name) { return m_routes.try_emplace(name, m_options).first->second; }
 
+void RouteTable::setRetryBudget(const CallBudget::Options& options)
+{
+    m_options.retryBudget = options;
+    for (auto& [name, it] : m_routes)
+        it.retryBudget.setOptions(options);
+}
+
 } // namespace Berylport
--- a/Source/Calls/RouteTable.h
+++ b/Source/Calls/RouteTable.h
@@ -35,6 +35,8 @@
     void updateTargets(std::span<const TargetRecord>, Instant now);
     // Creates an empty route for a service that is not known yet.
     ServiceRoute& route(const ServiceName&);
+    // For all services, those not known yet included.
+    void setRetryBudget(const CallBudget::Options&);
 
 private:
     CallOptions m_options;
--- a/Source/Configuration/SourceFollower.cpp
+++ b/Source/Configuration/SourceFollower.cpp
@@ -6,12 +6,26 @@
 
 void SourceFollower::start(Instant, std::vector<FollowerAction>& actions) { actions.push_back(ReadSource {}); }
 
-void SourceFollower::sourceAnswered(uint64_t position, std::vector<FollowerAction>& actions)
+void SourceFollower::sourceAnswered(uint64_t position, Instant now, std::vector<FollowerAction>& actions)
 {
     m_failures = 0;
     m_retryAt.reset();
     m_position = std::max(position, m_position.value_or(0));
-    actions.push_back(FollowSource { .position = *m_position, .wait = m_options.followWait });
+    if (m_isReader) {
+        actions.push_back(FollowSource { .position = *m_position, .wait = m_options.followWait });
+        return;
+    }
+    // Three quarters to whole of the time, so that nodes that started together do not ask together.
+    m_retryAt = now + m_options.pollInterval * 3 / 4
+        + Duration(static_cast<int64_t>(m_random.unit() * static_cast<double>(m_options.pollInterval.count()) / 4));
+    m_isWaiting = true;
+}
+
+void SourceFollower::setReader(bool isReader, Instant now)
+{
+    if (isReader && !m_isReader && m_isWaiting)
+        m_retryAt = now;
+    m_isReader = isReader;
 }
 
 void SourceFollower::historyLost(Instant now, std::vector<FollowerAction>&)
@@ -56,8 +70,10 @@
     if (!m_retryAt || now < *m_retryAt)
         return;
     m_retryAt.reset();
+    m_isWaiting = false;
     if (m_position)
-        actions.push_back(FollowSource { .position = *m_position, .wait = m_options.followWait });
+        actions.push_back(
+            FollowSource { .position = *m_position, .wait = m_isReader ? m_options.followWait : Duration::zero() });
     else
         actions.push_back(ReadSource {});
 }
--- a/Source/Configuration/SourceFollower.h
+++ b/Source/Configuration/SourceFollower.h
@@ -34,7 +34,10 @@
     struct Options {
         // How long the source may hold back an answer that says that nothing changed. Each costs one call, and a
         // connection that died unnoticed delays a change by this much at most.
-        Duration followWait { std::chrono::seconds(5) };
+        Duration followWait { std::chrono::seconds(10) };
+        // A node that is no reader hears of new versions from its peers and asks the source this often in case all of
+        // them are cut off. Below the time for which sources keep their history.
+        Duration pollInterval { std::chrono::seconds(15) };
         // After a failure the source is asked again after this time, which doubles with each further failure.
         Duration firstRetry { std::chrono::milliseconds(200) };
         // Above it a node that the source serves again would notice too late: changes must be in force 2 s after they
@@ -53,11 +56,15 @@
 
     void start(Instant now, std::vector<FollowerAction>&);
     // Any answer of the source. The position is where to go on from.
-    void sourceAnswered(uint64_t position, std::vector<FollowerAction>&);
+    void sourceAnswered(uint64_t position, Instant now, std::vector<FollowerAction>&);
     // The source has answered that it has forgotten what followed the position.
     void historyLost(Instant now, std::vector<FollowerAction>&);
     void sourceFailed(Instant now);
 
+    // Only a few nodes of a zone follow the source, or each change would cost one call for every node. A node begins as
+    // a reader.
+    void setReader(bool isReader, Instant now);
+
     // A peer has said which version it holds.
     void peerHolds(NodeId, uint64_t version, Instant now, std::vector<FollowerAction>&);
     void fetchEnded();
@@ -76,6 +83,9 @@
     uint64_t m_version { 0 };
     // Where to follow from; nothing while the source has to be read as a whole.
     std::optional<uint64_t> m_position;
+    bool m_isReader { true };
+    // No call to the source is under way; the next one is made at m_retryAt.
+    bool m_isWaiting { false };
     uint32_t m_failures { 0 };
     std::optional<Instant> m_retryAt;
     // One fetch at a time, so that a new version does not cost one for each peer that has it.
--- a/Source/Node/DirectoryTask.cpp
+++ b/Source/Node/DirectoryTask.cpp
@@ -2,6 +2,8 @@
 
 #include "Log/Log.h"
 
+#include <algorithm>
+
 namespace Berylport {
 
 namespace {
@@ -13,6 +15,8 @@
 constexpr Duration seedInterval = std::chrono::seconds(1);
 // Nodes whose rows were read long ago without an answer from any of them are taken to be gone.
 constexpr Duration seedPatience = std::chrono::seconds(1);
+// Nodes of a zone that follow the store. With one of them dead and not noticed yet, two are left.
+constexpr ptrdiff_t readersPerZone = 3;
 constexpr Duration wakeInterval = std::chrono::milliseconds(100);
 
 } // namespace
@@ -101,7 +105,7 @@
         noteStore(true, "configuration", {});
         if (snapshot.value().document)
             adopt(*snapshot.value().document, "store");
-        m_follower.sourceAnswered(snapshot.value().position, actions);
+        m_follower.sourceAnswered(snapshot.value().position, steadyNow(), actions);
     } else if (snapshot.error().code == PlatformErrorCode::HistoryLost) {
         logEvent(Event::ConfigurationHistoryLost);
         m_follower.historyLost(steadyNow(), actions);
@@ -157,6 +161,13 @@
     perform(actions);
 }
 
+void DirectoryTask::handle(ZoneMembersChanged&& message)
+{
+    // The list is sorted, so all nodes of the zone choose the same readers.
+    auto position = std::ranges::find(message.present, m_context.self) - message.present.begin();
+    m_follower.setReader(position < readersPerZone, steadyNow());
+}
+
 void DirectoryTask::handle(ConfigurationFetched&& fetched)
 {
     m_follower.fetchEnded();
--- a/Source/Node/DirectoryTask.h
+++ b/Source/Node/DirectoryTask.h
@@ -21,6 +21,7 @@
 private:
     // --- messages
     void handle(PeerVersion&&);
+    void handle(ZoneMembersChanged&&);
     void handle(ConfigurationFetched&&);
     void handle(ConfigurationFetchFailed&&);
     void handle(RecordDeparture&&);
--- a/Source/Node/EntryTask.cpp
+++ b/Source/Node/EntryTask.cpp
@@ -35,9 +35,11 @@
     CallOptions options;
     options.routing.zone = context.settings.node.zone;
     options.routing.region = context.settings.node.region;
+    options.routing.otherZoneFactor = context.settings.routing.otherZoneFactor;
     options.routing.policy = policyFor(context.settings.routing.policy);
     options.routing.otherZoneRoundTrip = context.settings.routing.crossZoneRoundTrip;
     options.seed = context.seed;
+    options.retriesServerErrors = context.settings.retry.serverErrors;
     options.maximumHandOns = maximumHandOns;
     options.maximumRefusals += maximumHandOns;
     return options;
@@ -90,6 +92,7 @@
     if (m_catalogue->routes)
         applyLimits(m_catalogue->routes->configuration());
     m_coordinator.updateTargets(m_context.status.targets, steadyNow());
+    shareRetryBudget();
 }
 
 void EntryTask::stop() noexcept
@@ -291,7 +294,20 @@
     perform(actions);
 }
 
-void EntryTask::handle(TargetsChanged&& message) { m_coordinator.updateTargets(message.targets, steadyNow()); }
+void EntryTask::handle(TargetsChanged&& message)
+{
+    m_coordinator.updateTargets(message.targets, steadyNow());
+    shareRetryBudget();
+}
+
+void EntryTask::shareRetryBudget()
+{
+    const RetrySection& retry = m_context.settings.retry;
+    if (!retry.fleetExtra)
+        return;
+    FleetBudget fleet { .share = retry.share, .extra = retry.fleetExtra, .window = retry.window };
+    m_coordinator.routes().setRetryBudget(CallBudget::partOf(fleet, m_context.status.members.size()));
+}
 
 void EntryTask::handle(CatalogueChanged&& message)
 {
--- a/Source/Node/EntryTask.h
+++ b/Source/Node/EntryTask.h
@@ -58,6 +58,7 @@
     bool answerOwnPath(const HttpRequest&, const Responder&);
     Result<Treatment, EntryRefusal> findTreatment(const CallerRequest&, const HttpRequest&);
     void startCall(const CallerRequest&, const Treatment&, HttpRequest, Responder);
+    void shareRetryBudget();
     void applyLimits(const TrafficConfiguration&);
     void begin(StartCall, Caller);
 
--- a/Source/Node/TargetTask.cpp
+++ b/Source/Node/TargetTask.cpp
@@ -312,6 +312,11 @@
 
 void TargetTask::targetMessage(TargetAnnouncement&& announcement, const Responder& responder)
 {
+    bool isElsewhere = announcement.endpoint.address != m_context.settings.listen.local.address;
+    if (!announcement.instance.empty() && isElsewhere) {
+        targetMessage(AnnouncementError::InvalidInstance, responder);
+        return;
+    }
     Instant now = steadyNow();
     auto news = m_order.judge(announcement, now);
     if (news == AnnouncementNews::Departed) {
--- a/Source/Routing/RoutingOptions.h
+++ b/Source/Routing/RoutingOptions.h
@@ -75,6 +75,9 @@
     Duration otherZoneRoundTrip { std::chrono::milliseconds(3) };
     // Overrides otherZoneRoundTrip for the zones named.
     std::map<ZoneName, Duration> zoneRoundTrips;
+    // A target of another zone is taken only when its expected time is this many times better, as what crosses a zone
+    // costs bytes.
+    double otherZoneFactor { 1 };
     // Weight of a new or readmitted target grows to 1 over this time. A target is considered like the others with a
     // chance equal to its weight; a score divided by the weight would leave it without any call until its score is the
     // best.
--- a/Source/Routing/TargetSelector.cpp
+++ b/Source/Routing/TargetSelector.cpp
@@ -185,7 +185,8 @@
         return makeSelection(own->index);
     auto other = pick(m_groups[1], now, random, excluded);
     if (own && other)
-        return makeSelection(*expectedTime(*other, now) < *ownTime ? other->index : own->index);
+        return makeSelection(
+            m_options.otherZoneFactor * *expectedTime(*other, now) < *ownTime ? other->index : own->index);
     if (own || other)
         return makeSelection(own ? own->index : other->index);
     if (auto remote = pick(m_groups[2], now, random, excluded))
--- a/Source/Settings/NodeSettings.h
+++ b/Source/Settings/NodeSettings.h
@@ -76,14 +76,19 @@
     std::string policy { "fresh-load" };
     // What a round trip to another zone of the region costs.
     Duration crossZoneRoundTrip { std::chrono::milliseconds(3) };
+    // A target of another zone must be expected to answer this many times sooner than one of the own zone.
+    double otherZoneFactor { 1 };
 };
 
 struct RetrySection {
     // Further attempts that may reach targets, as a share of the calls; all nodes together stay below it.
     double share { 0.1 };
-    // Further attempts beyond the share that the whole fleet may make within the window.
-    uint32_t fleetExtra { 30 };
+    // Further attempts beyond the share that the whole fleet may make within the window. Zero: each node has a budget
+    // of its own.
+    uint32_t fleetExtra { 0 };
     Duration window { std::chrono::seconds(10) };
+    // Idempotent calls are tried again after a target's own failure.
+    bool serverErrors { false };
 };
 
 struct MeasureSection {
--- a/Source/Settings/SettingsSchema.cpp
+++ b/Source/Settings/SettingsSchema.cpp
@@ -183,6 +183,17 @@
     return makeSetting(place, "text", range, parse, field.defaultValue());
 }
 
+template <typename Section> SettingInfo flag(Place place, Field<Section, bool> field)
+{
+    auto parse = [=](NodeSettings& settings, std::string_view text) -> std::optional<std::string> {
+        if (text != "yes" && text != "no")
+            return "must be yes or no";
+        field.in(settings) = text == "yes";
+        return std::nullopt;
+    };
+    return makeSetting(place, "yes/no", "yes or no", parse, field.defaultValue() ? "yes" : "no");
+}
+
 template <typename Section> SettingInfo text(Place place, std::string_view range, Field<Section, std::string> field)
 {
     auto parse = [=](NodeSettings& settings, std::string_view value) -> std::optional<std::string> {
@@ -290,10 +301,14 @@
         { "fresh-load", "two-choices", "least-reported", "round-robin", "random" }));
     list.push_back(milliseconds({ "routing", "cross_zone_round_trip_ms", "round trip to another zone of the region" },
         Field { &S::routing, &RoutingSection::crossZoneRoundTrip }, 0, 1000));
+    list.push_back(share({ "routing", "other_zone_factor", "how much sooner another zone's target must answer" },
+        Field { &S::routing, &RoutingSection::otherZoneFactor }, 1, 10));
     list.push_back(share({ "retry", "share", "further attempts that may reach targets, per call" },
         Field { &S::retry, &RetrySection::share }, 0, 1));
     list.push_back(number({ "retry", "fleet_extra", "further attempts beyond the share, of all nodes in a window" },
         "count", Field { &S::retry, &RetrySection::fleetExtra }, 0, 1'000'000));
+    list.push_back(flag({ "retry", "server_errors", "try idempotent calls again after a target's status 500" },
+        Field { &S::retry, &RetrySection::serverErrors }));
     list.push_back(seconds({ "retry", "window_s", "the window" }, Field { &S::retry, &RetrySection::window }, 3600));
     list.push_back(share({ "measure", "byte_share", "measuring's part of the calls' own bytes" },
         Field { &S::measure, &M::byteShare }, 0, 0.1));
--- a/tests/Configuration/SourceFollowerTest.cpp
+++ b/tests/Configuration/SourceFollowerTest.cpp
@@ -38,22 +38,22 @@
 {
     m_follower.start(m_now, m_actions);
     EXPECT_EQ(take<ReadSource>().size(), 1u);
-    m_follower.sourceAnswered(40, m_actions);
+    m_follower.sourceAnswered(40, m_now, m_actions);
     EXPECT_EQ(take<FollowSource>().at(0).position, 40u);
-    m_follower.sourceAnswered(45, m_actions);
+    m_follower.sourceAnswered(45, m_now, m_actions);
     EXPECT_EQ(take<FollowSource>().at(0).position, 45u);
 }
 
 // Following must go on where it stopped, or a change during the outage would be lost.
 TEST_F(SourceFollowerTest, AfterAnOutageItFollowsFromTheSamePosition)
 {
-    m_follower.sourceAnswered(40, m_actions);
+    m_follower.sourceAnswered(40, m_now, m_actions);
     m_actions.clear();
     m_follower.sourceFailed(m_now);
     EXPECT_FALSE(m_follower.isSourceReachable());
     advance(1s);
     EXPECT_EQ(take<FollowSource>().at(0).position, 40u);
-    m_follower.sourceAnswered(41, m_actions);
+    m_follower.sourceAnswered(41, m_now, m_actions);
     EXPECT_TRUE(m_follower.isSourceReachable());
 }
 
@@ -61,7 +61,7 @@
 TEST_F(SourceFollowerTest, RetriesAtMostAboutTwiceASecondAndAtLeastOnceASecond)
 {
     int asked = 0;
-    m_follower.sourceAnswered(1, m_actions);
+    m_follower.sourceAnswered(1, m_now, m_actions);
     m_actions.clear();
     m_follower.sourceFailed(m_now);
     for (Duration passed {}; passed < 20s; passed += 10ms) {
@@ -77,13 +77,35 @@
 
 TEST_F(SourceFollowerTest, ForgottenHistoryIsReadAsAWhole)
 {
-    m_follower.sourceAnswered(40, m_actions);
+    m_follower.sourceAnswered(40, m_now, m_actions);
     m_actions.clear();
     m_follower.historyLost(m_now, m_actions);
     advance(1s);
     EXPECT_EQ(take<ReadSource>().size(), 1u);
 }
 
+// A change must not cost one call for every node of a large fleet, and a node whose peers are all gone must still ask.
+TEST_F(SourceFollowerTest, ANodeThatIsNoReaderAsksRarelyAndFollowsAgainAsAReader)
+{
+    m_follower.setReader(false, m_now);
+    m_follower.sourceAnswered(40, m_now, m_actions);
+    EXPECT_TRUE(m_actions.empty());
+    int asked = 0;
+    for (Duration passed {}; passed < 60s; passed += 100ms) {
+        advance(100ms);
+        for (auto& it : take<FollowSource>()) {
+            EXPECT_EQ(it.wait, Duration::zero());
+            ++asked;
+            m_follower.sourceAnswered(40, m_now, m_actions);
+        }
+    }
+    EXPECT_GE(asked, 3);
+    EXPECT_LE(asked, 6);
+    m_follower.setReader(true, m_now);
+    advance(1ms);
+    EXPECT_GT(take<FollowSource>().at(0).wait, Duration::zero());
+}
+
 TEST_F(SourceFollowerTest, VersionsNeverGoBack)
 {
     EXPECT_TRUE(m_follower.adopt(7));
