Treat calls that targets make while they run as part of their parent

Change: a route whose arrivals are all explained by a request that runs on the same VM is nested: it is of use until its deadline and goes one rank higher.

--- a/Source/Admission/AdmissionController.cpp
+++ b/Source/Admission/AdmissionController.cpp
@@ -359,7 +359,7 @@
     m_tenants.noteStarted(entry.tenant);
     m_running++;
     m_meter.setRunning(m_running, now);
-    m_runs[request.id] = { .route = request.route, .since = m_meter.mark(now) };
+    m_runs[request.id] = { .route = request.route, .since = m_meter.mark(now), .deadline = request.deadline };
     actions.push_back(StartOnTarget {
         .id = request.id,
         .service = std::move(request.service),
@@ -599,6 +599,14 @@
     parent->retryTokensLeft += std::min(unused, parent->retryTokens - parent->retryTokensLeft);
 }
 
+Instant AdmissionController::latestRunningDeadline() const
+{
+    Instant latest;
+    for (auto& [id, run] : m_runs)
+        latest = std::max(latest, run.deadline);
+    return latest;
+}
+
 LoadReport AdmissionController::load(Instant now) const
 {
     return {
--- a/Source/Admission/AdmissionController.h
+++ b/Source/Admission/AdmissionController.h
@@ -109,6 +109,8 @@
     bool isDrained() const { return !m_running && m_queue.isEmpty() && m_late.empty(); }
     bool areStartsHeld() const { return !m_gate.isOpen(); }
     LoadReport load(Instant now) const;
+    // The zero instant when nothing runs.
+    Instant latestRunningDeadline() const;
     const CallLedger& ledger() const { return m_ledger; }
 
 private:
@@ -181,6 +183,7 @@
     struct RunningCall {
         std::string route;
         RunMeter::Mark since;
+        Instant deadline;
     };
     // Every running attempt.
     std::unordered_map<AttemptId, RunningCall> m_runs;
--- a/Source/Node/EntryTask.cpp
+++ b/Source/Node/EntryTask.cpp
@@ -15,6 +15,8 @@
 constexpr uint32_t maximumAttempts = 9;
 // With a quarter of the VMs slow at any time, the third target is slow as well in one call of 64.
 constexpr uint32_t maximumHandOns = 2;
+// A nested call states its parent's deadline in whole milliseconds and takes a moment to arrive.
+constexpr Duration nestedCallTolerance = std::chrono::milliseconds(5);
 constexpr std::string_view actionPathPrefix = "/berylport/actions/";
 
 SelectionPolicy policyFor(std::string_view name)
@@ -173,14 +175,19 @@
     const TrafficRoute* route = m_catalogue->routes->find(host, request.target);
     if (!route)
         return EntryRefusal::NoRoute;
+    Instant now = steadyNow();
+    Instant expires = now + caller.timeout.value_or(route->timeout);
+    m_nested.noteArrival(route->name, expires <= m_context.status.latestRunningDeadline + nestedCallTolerance);
+    bool isNested = m_nested.isNested(route->name);
+    // Work that its parent has begun goes before work that has not, and is of use until its deadline.
+    uint32_t rank = isNested && route->rank ? route->rank - 1 : route->rank;
+    Duration objective = isNested ? route->timeout : route->latencyObjective;
     ServiceDefinition definition { .name = m_split.next(*route),
         .kind = route->kind,
-        .priority = priorityOfRank(route->rank),
+        .priority = priorityOfRank(rank),
         .callerWait = route->timeout,
         .retryTokens = std::clamp<uint32_t>(route->maximumAttempts, 1, maximumAttempts) - 1 };
-    return Treatment {
-        .definition = std::move(definition), .objective = route->latencyObjective, .route = route->name
-    };
+    return Treatment { .definition = std::move(definition), .objective = objective, .route = route->name };
 }
 
 void EntryTask::startCall(
--- a/Source/Node/EntryTask.h
+++ b/Source/Node/EntryTask.h
@@ -92,6 +92,7 @@
     HttpServer m_server;
     Timer m_timer;
     TrafficSplit m_split;
+    NestedRoutes m_nested;
     CataloguePointer m_catalogue;
     GuardState m_guard { GuardState::Unconfirmed };
     uint64_t m_lastSequence { 0 };
--- a/Source/Node/NodeContext.h
+++ b/Source/Node/NodeContext.h
@@ -34,6 +34,8 @@
     size_t entryCalls { 0 };
     size_t admittedCalls { 0 };
     size_t runningActions { 0 };
+    // Latest deadline of the calls that run on the targets of this VM; the zero instant when none runs.
+    Instant latestRunningDeadline;
 };
 
 struct NodeContext {
--- a/Source/Node/TargetTask.cpp
+++ b/Source/Node/TargetTask.cpp
@@ -706,13 +706,16 @@
 void TargetTask::updateStatus()
 {
     size_t admitted = 0;
+    Instant latest;
     uint32_t running = 0;
     for (auto& [service, target] : m_targets) {
         LoadReport load = target->admission.load(steadyNow());
         admitted += load.running + load.queued;
+        latest = std::max(latest, target->admission.latestRunningDeadline());
         running += load.running;
     }
     m_context.status.admittedCalls = admitted;
+    m_context.status.latestRunningDeadline = latest;
     m_context.metrics.set("berylport_slots_in_use", running);
 }
 
--- /dev/null
+++ b/Source/Traffic/NestedRoutes.cpp
@@ -0,0 +1,24 @@
+#include "Traffic/NestedRoutes.h"
+
+namespace Berylport {
+
+void NestedRoutes::noteArrival(const std::string& route, bool isExplained)
+{
+    Counts& counts = m_counts[route];
+    ++counts.arrivals;
+    counts.unexplained += !isExplained;
+    if (counts.arrivals < m_options.memory)
+        return;
+    counts.arrivals /= 2;
+    counts.unexplained /= 2;
+}
+
+bool NestedRoutes::isNested(const std::string& route) const
+{
+    auto it = m_counts.find(route);
+    if (it == m_counts.end() || it->second.arrivals < m_options.minimumArrivals)
+        return false;
+    return it->second.unexplained <= m_options.foreignShare * it->second.arrivals;
+}
+
+} // namespace Berylport
--- a/Source/Traffic/Traffic.h
+++ b/Source/Traffic/Traffic.h
@@ -1,6 +1,7 @@
 // Public header of Traffic: the operators' routes, and which service a request goes to.
 #pragma once
 
+#include "Traffic/NestedRoutes.h"
 #include "Traffic/RouteFinder.h"
 #include "Traffic/TrafficConfiguration.h"
 #include "Traffic/TrafficSplit.h"
