--- a/Source/Calls/CallCoordinator.cpp
+++ b/Source/Calls/CallCoordinator.cpp
@@ -375,6 +375,9 @@
 
 void CallCoordinator::send(PendingCall& call, const Selection& selection, Instant now, CallActions& actions)
 {
+    // The last target that is asked has to take the call, slow or not.
+    if (call.refusals() + 1 >= m_options.maximumRefusals)
+        call.allowHandOns(0);
     auto& attempt = call.beginAttempt(selection, now);
     route(call).selector.noteSent(selection.target, now);
     ++m_counters.attempts;
--- a/tests/Calls/CallCoordinatorTest.cpp
+++ b/tests/Calls/CallCoordinatorTest.cpp
@@ -156,6 +156,21 @@
     EXPECT_FALSE(third[0].request.mayHandOn);
 }
 
+// Guards against a call that is refused as slow by the last target asked, after others were full.
+TEST_F(CallCoordinatorTest, TheLastTargetAskedMayNotHandTheCallOn)
+{
+    auto options = makeOptions();
+    options.maximumHandOns = 2;
+    m_coordinator = CallCoordinator(options);
+    useTargets(5);
+    auto sent = start(makeCall(1, RequestKind::AtMostOnce, at(10s)), at(0s));
+    auto second = allOf<SendAttempt>(reply(makeRefusal(sent.request.id), at(1ms)));
+    ASSERT_EQ(second.size(), 1u);
+    auto third = allOf<SendAttempt>(reply(makeRefusal(second[0].request.id), at(2ms)));
+    ASSERT_EQ(third.size(), 1u);
+    EXPECT_FALSE(third[0].request.mayHandOn);
+}
+
 // Guards against overload hidden by endless re-dispatching.
 TEST_F(CallCoordinatorTest, RedispatchesWithinTheBudget)
 {
