Keep the peer's capability of an accepted link instead of asking for it again

Bootstrapping on its connection made a new RPC state on a network that was shut down, which ended the process. Ruled out: memory (peak 12.7 MB), failed tasks (no such event).

Change: the capability is taken once, when the link opens. The test ended the process before and passes now.

--- a/Source/Peer/ServerLink.cpp
+++ b/Source/Peer/ServerLink.cpp
@@ -198,7 +198,7 @@
 void ServerLink::confirm(const std::function<void(const LinkInfo&)>& confirmed)
 {
     Instant sent = steadyNow();
-    auto request = m_connection->remote().pingRequest();
+    auto request = m_remote->pingRequest();
     request.setClock(toMicroseconds(sent));
     auto answered = request.send().then([this, sent](capnp::Response<Schema::Peer::PingResults>&& response) {
         if (auto clock = readClock(response.getClock()))
@@ -238,6 +238,7 @@
         return Schema::HelloStatus::WRONG_NODE;
     }
     m_state = State::Open;
+    m_remote = m_connection->remote();
     m_info.peer = peer;
     m_silence.heard();
     m_context.loop.guard([this] { m_context.handler.linkOpened(m_info); });
--- a/Source/Peer/ServerLink.h
+++ b/Source/Peer/ServerLink.h
@@ -60,6 +60,9 @@
     SilenceWatch m_silence;
     uint64_t m_bytesAtLastCheck { 0 };
     std::unique_ptr<PeerConnection> m_connection;
+    // What the peer exports; set while the link is open. Asking the connection for it later would fail once the peer
+    // has vanished, whereas requests on it only end with an error.
+    std::optional<Schema::Peer::Client> m_remote;
     // Destroyed before the connection, as its promises refer to it.
     std::unique_ptr<kj::TaskSet> m_tasks;
 };
--- a/tests/Peer/PeerServerTest.cpp
+++ b/tests/Peer/PeerServerTest.cpp
@@ -68,6 +68,24 @@
 
 } // namespace
 
+// Guards against the end of the process when links are confirmed after a peer has vanished and before its link is
+// removed.
+TEST_F(PeerServerTest, ConfirmsLinksWhileAPeerVanishes)
+{
+    for (int n = 0; n < 20; ++n) {
+        auto link
+            = std::make_unique<PeerLink>(loop, NodeId { 0xa }, node.address(), patientLinkOptions(), PeerLinkEvents {});
+        ASSERT_TRUE(runUntil([&] { return node.server->links().size() == 1; }));
+        link.reset();
+        bool isGone = runUntil([&] {
+            node.server->confirmLinks([](const LinkInfo&) {});
+            return node.server->links().empty();
+        });
+        ASSERT_TRUE(isGone);
+    }
+    expectServesOthers();
+}
+
 TEST_F(PeerServerTest, HttpOnThePortClosesTheConnection)
 {
     expectClosed("GET / HTTP/1.1\r\nHost: localhost\r\n\r\n");
