Keep one parser for reported loads

Cause: the own dialect and the platform's read the same four figures with a copy each. Change: parseReportedLoad serves both.

--- a/Source/Node/Dialect.h
+++ b/Source/Node/Dialect.h
@@ -33,6 +33,9 @@
     std::optional<ReportedLoad> load;
 };
 
+// "running,waiting,slots" with the VM's slowness in percent as an optional fourth figure.
+std::optional<ReportedLoad> parseReportedLoad(std::string_view);
+
 // The target ends; no new work is to reach it.
 struct TargetWithdrawal {
     // Empty in dialects without ids.
--- a/Source/Node/OwnDialect.cpp
+++ b/Source/Node/OwnDialect.cpp
@@ -9,8 +9,9 @@
 constexpr std::string_view announcePath = "/announce";
 constexpr std::string_view withdrawPrefix = "/announce?service=";
 
-// "running,waiting,slots" with the VM's slowness in percent as an optional fourth figure.
-std::optional<ReportedLoad> parseLoad(std::string_view text)
+} // namespace
+
+std::optional<ReportedLoad> parseReportedLoad(std::string_view text)
 {
     ReportedLoad load;
     uint16_t* const members[] = { &load.running, &load.waiting, &load.slots, &load.slownessPercent };
@@ -29,8 +30,6 @@
     return hasAllNeeded ? std::optional(load) : std::nullopt;
 }
 
-} // namespace
-
 Result<CallerRequest, EntryRefusal> OwnDialect::readCaller(const HttpRequest& request) const
 {
     return readCallerRequest(request);
@@ -49,7 +48,7 @@
 {
     TargetReport report { .hasNotRun = findHeader(response.headers, Header::notRun).has_value() };
     if (auto load = findHeader(response.headers, Header::load))
-        report.load = parseLoad(*load);
+        report.load = parseReportedLoad(*load);
     return report;
 }
 
