Let one limit hold for request bodies at callers and on links

Cause: found on reading: settings allowed bodies of 16 MiB and the platform's deploy file used that, but a link takes a request above 1 MiB for malformed and closes, which loses the other calls on it.

Change: 4 MiB on both sides.

--- a/Source/Peer/PeerCodec.cpp
+++ b/Source/Peer/PeerCodec.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 // Limits of the caller-facing side (design, section 4.1), with room for headers that Berylport adds.
-constexpr size_t maximumRequestBody = 1024 * 1024;
+constexpr size_t maximumRequestBody = 4 * 1024 * 1024;
 constexpr size_t maximumResponseBody = 4 * 1024 * 1024;
 constexpr size_t maximumHeaderBytes = 32 * 1024;
 constexpr size_t maximumHeaders = 512;
--- a/Source/Settings/SettingsSchema.cpp
+++ b/Source/Settings/SettingsSchema.cpp
@@ -278,7 +278,7 @@
     list.push_back(number({ "caller", "maximum_header_bytes", "request line and headers" }, "bytes",
         Field { &S::caller, &C::maximumHeaderBytes }, 1024, 1024 * 1024));
     list.push_back(number({ "caller", "maximum_body_bytes", "request body" }, "bytes",
-        Field { &S::caller, &C::maximumBodyBytes }, 0, 16 * 1024 * 1024));
+        Field { &S::caller, &C::maximumBodyBytes }, 0, 4 * 1024 * 1024));
     list.push_back(milliseconds({ "caller", "read_timeout_ms", "wait for the whole head or body of a request" },
         Field { &S::caller, &C::readTimeout }, 100, 10 * minute));
     list.push_back(milliseconds({ "caller", "idle_timeout_ms", "wait for the next request on a connection" },
