--- a/Source/Node/ConfigurationTable.cpp
+++ b/Source/Node/ConfigurationTable.cpp
@@ -22,20 +22,20 @@
     return n;
 }
 
-PlatformError makeError(PlatformErrorCode code) { return { .code = code }; }
+StoreError makeError(StoreErrorCode code) { return { .code = code }; }
 
-WriteResult resultOf(const PlatformError& error)
+WriteResult resultOf(const StoreError& error)
 {
     switch (error.code) {
-    case PlatformErrorCode::Conflict:
+    case StoreErrorCode::Conflict:
         return WriteResult::HeadMoved;
-    case PlatformErrorCode::Timeout:
+    case StoreErrorCode::Timeout:
         return WriteResult::Unknown;
-    case PlatformErrorCode::Unavailable:
-    case PlatformErrorCode::Throttled:
-    case PlatformErrorCode::NotFound:
-    case PlatformErrorCode::Malformed:
-    case PlatformErrorCode::HistoryLost:
+    case StoreErrorCode::Unavailable:
+    case StoreErrorCode::Throttled:
+    case StoreErrorCode::NotFound:
+    case StoreErrorCode::Malformed:
+    case StoreErrorCode::HistoryLost:
         return WriteResult::Unavailable;
     }
     return WriteResult::Unknown;
@@ -50,15 +50,15 @@
 
 } // namespace
 
-void ConfigurationTable::readHead(std::function<void(PlatformResult<uint64_t>)> done)
+void ConfigurationTable::readHead(std::function<void(StoreResult<uint64_t>)> done)
 {
     std::weak_ptr<bool> alive = m_alive;
-    m_table.get(headKey, [alive, done = std::move(done)](Instant, PlatformResult<TableRow> row) {
+    m_table.get(headKey, [alive, done = std::move(done)](Instant, StoreResult<TableRow> row) {
         if (alive.expired())
             return;
         if (row)
             done(row.value().version);
-        else if (row.error().code == PlatformErrorCode::NotFound)
+        else if (row.error().code == StoreErrorCode::NotFound)
             done(uint64_t { 0 });
         else
             done(row.error());
@@ -66,12 +66,12 @@
 }
 
 void ConfigurationTable::readPages(std::string prefix, std::string after, std::vector<TableRow> rows,
-    std::function<void(PlatformResult<std::vector<TableRow>>)> done)
+    std::function<void(StoreResult<std::vector<TableRow>>)> done)
 {
     std::weak_ptr<bool> alive = m_alive;
     m_table.scan(prefix, scanRows, after,
         [this, alive, prefix, rows = std::move(rows), done = std::move(done)](
-            Instant, PlatformResult<ScanPage> page) mutable {
+            Instant, StoreResult<ScanPage> page) mutable {
             if (alive.expired())
                 return;
             if (!page) {
@@ -90,15 +90,15 @@
         });
 }
 
-void ConfigurationTable::readAll(std::function<void(PlatformResult<ConfigurationDelta>)> done)
+void ConfigurationTable::readAll(std::function<void(StoreResult<ConfigurationDelta>)> done)
 {
-    readHead([this, done = std::move(done)](PlatformResult<uint64_t> before) {
+    readHead([this, done = std::move(done)](StoreResult<uint64_t> before) {
         if (!before) {
             done(before.error());
             return;
         }
         uint64_t head = before.value();
-        readPages(servicePrefix, "", {}, [this, head, done](PlatformResult<std::vector<TableRow>> rows) {
+        readPages(servicePrefix, "", {}, [this, head, done](StoreResult<std::vector<TableRow>> rows) {
             if (!rows) {
                 done(rows.error());
                 return;
@@ -107,16 +107,16 @@
             for (auto& it : rows.value()) {
                 auto definition = decodeDefinition(it.value);
                 if (!definition) {
-                    done(makeError(PlatformErrorCode::Malformed));
+                    done(makeError(StoreErrorCode::Malformed));
                     return;
                 }
                 delta.changed.push_back(*definition);
             }
-            readHead([head, delta = std::move(delta), done](PlatformResult<uint64_t> after) {
+            readHead([head, delta = std::move(delta), done](StoreResult<uint64_t> after) {
                 if (!after)
                     done(after.error());
                 else if (after.value() != head)
-                    done(makeError(PlatformErrorCode::Conflict));
+                    done(makeError(StoreErrorCode::Conflict));
                 else
                     done(delta);
             });
@@ -125,23 +125,23 @@
 }
 
 void ConfigurationTable::readForChange(const ServiceName& service,
-    std::function<void(PlatformResult<std::pair<uint64_t, std::optional<ServiceDefinition>>>)> done)
+    std::function<void(StoreResult<std::pair<uint64_t, std::optional<ServiceDefinition>>>)> done)
 {
     // The head is read first: a change between both reads moves it, and the conditional write then fails.
-    readHead([this, service, done = std::move(done)](PlatformResult<uint64_t> head) {
+    readHead([this, service, done = std::move(done)](StoreResult<uint64_t> head) {
         if (!head) {
             done(head.error());
             return;
         }
         std::weak_ptr<bool> alive = m_alive;
         m_table.get(
-            servicePrefix + service.text, [alive, head = head.value(), done](Instant, PlatformResult<TableRow> row) {
+            servicePrefix + service.text, [alive, head = head.value(), done](Instant, StoreResult<TableRow> row) {
                 if (alive.expired())
                     return;
                 std::optional<ServiceDefinition> definition;
                 if (row)
                     definition = decodeDefinition(row.value().value);
-                else if (row.error().code != PlatformErrorCode::NotFound) {
+                else if (row.error().code != StoreErrorCode::NotFound) {
                     done(row.error());
                     return;
                 }
@@ -165,18 +165,18 @@
         change.change);
     std::weak_ptr<bool> alive = m_alive;
     m_table.transact(
-        std::move(transaction), [alive, done = std::move(done)](Instant, PlatformResult<TransactionResult> result) {
+        std::move(transaction), [alive, done = std::move(done)](Instant, StoreResult<TransactionResult> result) {
             if (alive.expired())
                 return;
             done(result ? WriteResult::Written : resultOf(result.error()));
         });
 }
 
-void ConfigurationTable::transact(Transaction transaction, std::function<void(PlatformResult<Done>)> done)
+void ConfigurationTable::transact(Transaction transaction, std::function<void(StoreResult<Done>)> done)
 {
     std::weak_ptr<bool> alive = m_alive;
     m_table.transact(
-        std::move(transaction), [alive, done = std::move(done)](Instant, PlatformResult<TransactionResult> result) {
+        std::move(transaction), [alive, done = std::move(done)](Instant, StoreResult<TransactionResult> result) {
             if (alive.expired())
                 return;
             if (result)
@@ -186,9 +186,9 @@
         });
 }
 
-void ConfigurationTable::readZones(std::function<void(PlatformResult<std::vector<ZoneConfirmation>>)> done)
+void ConfigurationTable::readZones(std::function<void(StoreResult<std::vector<ZoneConfirmation>>)> done)
 {
-    readPages(zonePrefix, "", {}, [done = std::move(done)](PlatformResult<std::vector<TableRow>> rows) {
+    readPages(zonePrefix, "", {}, [done = std::move(done)](StoreResult<std::vector<TableRow>> rows) {
         if (!rows) {
             done(rows.error());
             return;
@@ -203,14 +203,14 @@
 }
 
 void ConfigurationTable::confirmZone(
-    const ZoneName& zone, uint64_t version, std::string token, std::function<void(PlatformResult<Done>)> done)
+    const ZoneName& zone, uint64_t version, std::string token, std::function<void(StoreResult<Done>)> done)
 {
     std::string key = zonePrefix + zone.text;
     std::weak_ptr<bool> alive = m_alive;
-    m_table.get(key, [this, alive, key, version, token, done = std::move(done)](Instant, PlatformResult<TableRow> row) {
+    m_table.get(key, [this, alive, key, version, token, done = std::move(done)](Instant, StoreResult<TableRow> row) {
         if (alive.expired())
             return;
-        if (!row && row.error().code != PlatformErrorCode::NotFound) {
+        if (!row && row.error().code != StoreErrorCode::NotFound) {
             done(row.error());
             return;
         }
@@ -229,14 +229,14 @@
 }
 
 void ConfigurationTable::removeZone(
-    const ZoneName& zone, std::string token, std::function<void(PlatformResult<Done>)> done)
+    const ZoneName& zone, std::string token, std::function<void(StoreResult<Done>)> done)
 {
     Transaction transaction { .token = std::move(token), .deletes = { zonePrefix + zone.text } };
     transact(std::move(transaction), std::move(done));
 }
 
 void ConfigurationTable::writeSeed(
-    NodeId node, const Endpoint& gossip, std::string token, std::function<void(PlatformResult<Done>)> done)
+    NodeId node, const Endpoint& gossip, std::string token, std::function<void(StoreResult<Done>)> done)
 {
     Transaction transaction { .token = std::move(token),
         .puts = { { .key = seedPrefix + toText(node), .value = toText(gossip) } } };
@@ -247,12 +247,12 @@
 {
     // A row that stays behind costs a newcomer one unanswered ping.
     m_table.transact({ .token = std::move(token), .deletes = { seedPrefix + toText(node) } },
-        [](Instant, const PlatformResult<TransactionResult>&) {});
+        [](Instant, const StoreResult<TransactionResult>&) {});
 }
 
-void ConfigurationTable::readSeeds(std::function<void(PlatformResult<std::vector<std::pair<NodeId, Endpoint>>>)> done)
+void ConfigurationTable::readSeeds(std::function<void(StoreResult<std::vector<std::pair<NodeId, Endpoint>>>)> done)
 {
-    readPages(seedPrefix, "", {}, [done = std::move(done)](PlatformResult<std::vector<TableRow>> rows) {
+    readPages(seedPrefix, "", {}, [done = std::move(done)](StoreResult<std::vector<TableRow>> rows) {
         if (!rows) {
             done(rows.error());
             return;
--- a/Source/Node/ConfigurationTask.cpp
+++ b/Source/Node/ConfigurationTask.cpp
@@ -110,7 +110,7 @@
     const ListenSection& listen = m_context.settings.listen;
     Endpoint gossip = listen.gossipAdvertised.value_or(listen.gossip);
     // The own row is written before the others' are read, so of two nodes that start at once one sees the other.
-    m_table.writeSeed(m_context.self, gossip, newToken("seed"), guarded([this](PlatformResult<Done> written) {
+    m_table.writeSeed(m_context.self, gossip, newToken("seed"), guarded([this](StoreResult<Done> written) {
         if (!written) {
             m_isRegistering = false;
             noteStore(false);
@@ -118,9 +118,9 @@
         }
         noteStore(true);
         m_table.confirmZone(
-            m_context.settings.node.zone, 0, newToken("zone"), guarded([this](PlatformResult<Done> registered) {
+            m_context.settings.node.zone, 0, newToken("zone"), guarded([this](StoreResult<Done> registered) {
                 m_isRegistering = false;
-                m_isRegistered = registered.has_value() || registered.error().code == PlatformErrorCode::Conflict;
+                m_isRegistered = registered.has_value() || registered.error().code == StoreErrorCode::Conflict;
             }));
         findSeeds();
     }));
@@ -128,7 +128,7 @@
 
 void ConfigurationTask::findSeeds()
 {
-    m_table.readSeeds(guarded([this](PlatformResult<std::vector<std::pair<NodeId, Endpoint>>> rows) {
+    m_table.readSeeds(guarded([this](StoreResult<std::vector<std::pair<NodeId, Endpoint>>> rows) {
         if (!rows)
             return;
         SeedsFound found;
@@ -149,7 +149,7 @@
         return;
     m_isReadingHead = true;
     Instant askedAt = steadyNow();
-    m_table.readHead(guarded([this, isForCoordinator, askedAt](PlatformResult<uint64_t> head) {
+    m_table.readHead(guarded([this, isForCoordinator, askedAt](StoreResult<uint64_t> head) {
         m_isReadingHead = false;
         noteStore(head.has_value());
         if (head) {
@@ -175,10 +175,10 @@
         return;
     m_isReadingTable = true;
     Instant askedAt = steadyNow();
-    m_table.readAll(guarded([this, askedAt](PlatformResult<ConfigurationDelta> delta) {
+    m_table.readAll(guarded([this, askedAt](StoreResult<ConfigurationDelta> delta) {
         m_isReadingTable = false;
         if (!delta) {
-            if (delta.error().code == PlatformErrorCode::Malformed)
+            if (delta.error().code == StoreErrorCode::Malformed)
                 logEvent(Event::ConfigurationMalformed, { { "source", "table" } });
             return;
         }
@@ -297,8 +297,8 @@
         return;
     }
     uint64_t version = action.version;
-    m_table.confirmZone(m_context.settings.node.zone, version, newToken("confirm"),
-        guarded([this, version](PlatformResult<Done> written) {
+    m_table.confirmZone(
+        m_context.settings.node.zone, version, newToken("confirm"), guarded([this, version](StoreResult<Done> written) {
             if (written)
                 m_coordinator.confirmationWritten(version);
             else
@@ -355,7 +355,7 @@
 void ConfigurationTask::perform(uint64_t number, ReadForChange&& action)
 {
     m_table.readForChange(action.service,
-        guarded([this, number](PlatformResult<std::pair<uint64_t, std::optional<ServiceDefinition>>> rows) {
+        guarded([this, number](StoreResult<std::pair<uint64_t, std::optional<ServiceDefinition>>> rows) {
             forChange(number, [&](ChangeTracker& it, auto& actions) {
                 if (rows)
                     it.rowsRead(rows.value().first, rows.value().second, steadyNow(), actions);
@@ -379,7 +379,7 @@
 
 void ConfigurationTask::perform(uint64_t number, ReadZoneConfirmations&&)
 {
-    m_table.readZones(guarded([this, number](PlatformResult<std::vector<ZoneConfirmation>> zones) {
+    m_table.readZones(guarded([this, number](StoreResult<std::vector<ZoneConfirmation>> zones) {
         forChange(number, [&](ChangeTracker& it, auto& actions) {
             if (zones)
                 it.zonesRead(zones.value(), steadyNow(), actions);
@@ -409,8 +409,8 @@
 
 void ConfigurationTask::handle(ListZones&& message)
 {
-    m_table.readHead(guarded([this, done = std::move(message.done)](PlatformResult<uint64_t> head) {
-        m_table.readZones(guarded([head, done](PlatformResult<std::vector<ZoneConfirmation>> zones) {
+    m_table.readHead(guarded([this, done = std::move(message.done)](StoreResult<uint64_t> head) {
+        m_table.readZones(guarded([head, done](StoreResult<std::vector<ZoneConfirmation>> zones) {
             ZoneListing listing { .isStoreReachable = head && zones };
             if (head)
                 listing.headVersion = head.value();
@@ -424,7 +424,7 @@
 void ConfigurationTask::handle(RetireZone&& message)
 {
     m_table.removeZone(message.zone, newToken("retire"),
-        guarded([done = std::move(message.done)](PlatformResult<Done> result) { done(result.has_value()); }));
+        guarded([done = std::move(message.done)](StoreResult<Done> result) { done(result.has_value()); }));
 }
 
 // --- time
--- a/Source/Node/DirectoryTask.cpp
+++ b/Source/Node/DirectoryTask.cpp
@@ -83,13 +83,13 @@
 void DirectoryTask::perform(const ReadSource&)
 {
     m_store.configuration->read(
-        guarded([this](Instant, const PlatformResult<ConfigurationSnapshot>& snapshot) { sourceAnswered(snapshot); }));
+        guarded([this](Instant, const StoreResult<ConfigurationSnapshot>& snapshot) { sourceAnswered(snapshot); }));
 }
 
 void DirectoryTask::perform(const FollowSource& action)
 {
     m_store.configuration->follow(action.position, action.wait,
-        guarded([this](Instant, const PlatformResult<ConfigurationSnapshot>& snapshot) { sourceAnswered(snapshot); }));
+        guarded([this](Instant, const StoreResult<ConfigurationSnapshot>& snapshot) { sourceAnswered(snapshot); }));
 }
 
 void DirectoryTask::perform(const FetchFromPeer& action)
@@ -98,7 +98,7 @@
         m_follower.fetchEnded();
 }
 
-void DirectoryTask::sourceAnswered(const PlatformResult<ConfigurationSnapshot>& snapshot)
+void DirectoryTask::sourceAnswered(const StoreResult<ConfigurationSnapshot>& snapshot)
 {
     std::vector<FollowerAction> actions;
     if (snapshot) {
@@ -106,7 +106,7 @@
         if (snapshot.value().document)
             adopt(*snapshot.value().document, "store");
         m_follower.sourceAnswered(snapshot.value().position, steadyNow(), actions);
-    } else if (snapshot.error().code == PlatformErrorCode::HistoryLost) {
+    } else if (snapshot.error().code == StoreErrorCode::HistoryLost) {
         logEvent(Event::ConfigurationHistoryLost);
         m_follower.historyLost(steadyNow(), actions);
     } else {
@@ -199,7 +199,7 @@
     m_isRowStale = false;
     auto waiting = std::make_shared<std::vector<std::function<void()>>>(std::exchange(m_waitingForRow, {}));
     m_store.rows->put(
-        rowTable, rowKey(), encodeNodeRow(m_row), guarded([this, waiting](Instant, const PlatformResult<Done>& result) {
+        rowTable, rowKey(), encodeNodeRow(m_row), guarded([this, waiting](Instant, const StoreResult<Done>& result) {
             noteStore(result.has_value(), "row-write", result ? std::string_view() : toText(result.error().code));
             if (result) {
                 for (auto& it : *waiting)
@@ -225,7 +225,7 @@
     if (m_isListing || steadyNow() < m_nextList)
         return;
     m_isListing = true;
-    m_store.rows->list(rowTable, guarded([this](Instant, const PlatformResult<std::vector<TableRow>>& rows) {
+    m_store.rows->list(rowTable, guarded([this](Instant, const StoreResult<std::vector<TableRow>>& rows) {
         m_isListing = false;
         noteStore(rows.has_value(), "row-list", rows ? std::string_view() : toText(rows.error().code));
         m_nextList = steadyNow() + (rows ? seedInterval : rowRetryInterval);
--- a/Source/Node/DirectoryTask.h
+++ b/Source/Node/DirectoryTask.h
@@ -34,7 +34,7 @@
     void perform(const ReadSource&);
     void perform(const FollowSource&);
     void perform(const FetchFromPeer&);
-    void sourceAnswered(const PlatformResult<ConfigurationSnapshot>&);
+    void sourceAnswered(const StoreResult<ConfigurationSnapshot>&);
     void adopt(std::string document, std::string_view origin);
 
     // --- own row and seeds
--- a/Source/Node/FleetPorts.h
+++ b/Source/Node/FleetPorts.h
@@ -3,8 +3,8 @@
 #pragma once
 
 #include "Node/Dialect.h"
-#include "Platform/Platform.h"
 #include "Settings/Settings.h"
+#include "Store/Store.h"
 #include "Traffic/Traffic.h"
 
 #include <functional>
--- a/Source/Node/PatientTask.h
+++ b/Source/Node/PatientTask.h
@@ -5,7 +5,7 @@
 #include "Node/NodeContext.h"
 #include "Node/OperatorTask.h"
 #include "Patient/Patient.h"
-#include "Platform/Platform.h"
+#include "Store/Store.h"
 
 #include <map>
 #include <memory>
--- a/Source/Patient/ActionAcceptor.cpp
+++ b/Source/Patient/ActionAcceptor.cpp
@@ -65,13 +65,13 @@
 {
     ++acceptance->bodySendings;
     m_objects.put(acceptance->record.bodyObject, acceptance->body,
-        [this, alive = std::weak_ptr(m_alive), acceptance](Instant now, PlatformResult<Done> result) {
+        [this, alive = std::weak_ptr(m_alive), acceptance](Instant now, StoreResult<Done> result) {
             if (alive.expired())
                 return;
             if (result)
                 writeRow(now, acceptance);
-            else if (result.error().code == PlatformErrorCode::Timeout
-                && acceptance->bodySendings < m_options.bodyAttempts && now < acceptance->deadline)
+            else if (result.error().code == StoreErrorCode::Timeout && acceptance->bodySendings < m_options.bodyAttempts
+                && now < acceptance->deadline)
                 storeBody(now, acceptance);
             else
                 finish(now, acceptance, refusal(result.error()));
@@ -87,14 +87,14 @@
         .puts = { { key, encodeActionRecord(acceptance->record) } },
         .deletes = {} };
     m_resolver.transact(now, std::move(transaction), acceptance->deadline,
-        [this, alive = std::weak_ptr(m_alive), acceptance](Instant at, PlatformResult<TransactionResult> result) {
+        [this, alive = std::weak_ptr(m_alive), acceptance](Instant at, StoreResult<TransactionResult> result) {
             if (alive.expired())
                 return;
             if (result)
                 finish(at, acceptance, ActionAccepted { .token = acceptance->token, .isRepeated = false });
-            else if (result.error().code == PlatformErrorCode::Conflict)
+            else if (result.error().code == StoreErrorCode::Conflict)
                 readExisting(acceptance, true);
-            else if (result.error().code == PlatformErrorCode::Timeout)
+            else if (result.error().code == StoreErrorCode::Timeout)
                 finish(at, acceptance, ActionAcceptanceUnknown { .retryAfter = m_options.retryAfter });
             else
                 finish(at, acceptance, refusal(result.error()));
@@ -106,10 +106,10 @@
 {
     auto key = isOpen ? openActionKey(acceptance->token) : endedActionKey(acceptance->token);
     m_table.get(
-        key, [this, alive = std::weak_ptr(m_alive), acceptance, isOpen](Instant now, PlatformResult<TableRow> result) {
+        key, [this, alive = std::weak_ptr(m_alive), acceptance, isOpen](Instant now, StoreResult<TableRow> result) {
             if (alive.expired())
                 return;
-            if (!result && result.error().code == PlatformErrorCode::NotFound && isOpen) {
+            if (!result && result.error().code == StoreErrorCode::NotFound && isOpen) {
                 readExisting(acceptance, false);
                 return;
             }
@@ -124,10 +124,10 @@
         });
 }
 
-ActionRefused ActionAcceptor::refusal(const PlatformError& error) const
+ActionRefused ActionAcceptor::refusal(const StoreError& error) const
 {
     auto reason
-        = error.code == PlatformErrorCode::Throttled ? AcceptRefusal::StoreThrottled : AcceptRefusal::StoreUnavailable;
+        = error.code == StoreErrorCode::Throttled ? AcceptRefusal::StoreThrottled : AcceptRefusal::StoreUnavailable;
     return { .reason = reason, .retryAfter = std::max(error.retryAfter, m_options.retryAfter) };
 }
 
--- a/Source/Patient/ActionAcceptor.h
+++ b/Source/Patient/ActionAcceptor.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "Patient/ActionRecord.h"
-#include "Platform/Platform.h"
+#include "Store/Store.h"
 
 #include <functional>
 #include <memory>
@@ -95,7 +95,7 @@
     void writeRow(Instant now, Pointer);
     void readExisting(Pointer, bool isOpen);
     void finish(Instant now, const Pointer&, AcceptResult);
-    ActionRefused refusal(const PlatformError&) const;
+    ActionRefused refusal(const StoreError&) const;
 
     TableClient& m_table;
     ObjectClient& m_objects;
--- a/Source/Patient/ActionRecord.cpp
+++ b/Source/Patient/ActionRecord.cpp
@@ -1,8 +1,8 @@
 // JSON form of an action's row, and names.
 #include "Patient/ActionRecord.h"
 
-#include "Platform.capnp.h"
-#include "Platform/JsonCodec.h"
+#include "Store.capnp.h"
+#include "Store/JsonCodec.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -57,8 +57,8 @@
 
 std::string encodeActionRecord(const ActionRecord& record)
 {
-    return Json::encode<PlatformSchema::ActionRecord>([&](auto out) {
-        out.setState(static_cast<PlatformSchema::ActionRecord::State>(record.state));
+    return Json::encode<StoreSchema::ActionRecord>([&](auto out) {
+        out.setState(static_cast<StoreSchema::ActionRecord::State>(record.state));
         out.setService(record.service.text);
         out.setTenant(record.tenant.text);
         out.setMethod(record.http.method);
@@ -86,7 +86,7 @@
 std::optional<ActionRecord> decodeActionRecord(std::string_view text)
 {
     ActionRecord record;
-    bool isValid = Json::decode<PlatformSchema::ActionRecord>(text, [&](auto in) {
+    bool isValid = Json::decode<StoreSchema::ActionRecord>(text, [&](auto in) {
         record.state = static_cast<ActionState>(in.getState());
         record.service = ServiceName(Json::toString(in.getService()));
         record.tenant = TenantName(Json::toString(in.getTenant()));
--- a/Source/Patient/ActionRetention.cpp
+++ b/Source/Patient/ActionRetention.cpp
@@ -39,7 +39,7 @@
 void ActionRetention::readPage()
 {
     m_table.scan(endedActionPrefix(m_options.partition), m_options.pageRows, m_after,
-        [this, alive = std::weak_ptr(m_alive)](Instant now, PlatformResult<ScanPage> result) {
+        [this, alive = std::weak_ptr(m_alive)](Instant now, StoreResult<ScanPage> result) {
             if (alive.expired())
                 return;
             if (result)
@@ -80,11 +80,11 @@
 void ActionRetention::removeObjects(const std::shared_ptr<Page>& page)
 {
     m_objects.remove(
-        page->objects.back(), [this, alive = std::weak_ptr(m_alive), page](Instant now, PlatformResult<Done> result) {
+        page->objects.back(), [this, alive = std::weak_ptr(m_alive), page](Instant now, StoreResult<Done> result) {
             if (alive.expired())
                 return;
             // A failure leaves the rows to the next round.
-            if (!result && result.error().code != PlatformErrorCode::NotFound) {
+            if (!result && result.error().code != StoreErrorCode::NotFound) {
                 finishPage(now);
                 return;
             }
@@ -114,7 +114,7 @@
     }
     // A lost confirmation needs no repetition: the next round finds what is left.
     m_table.transact(
-        std::move(transaction), [this, alive = std::weak_ptr(m_alive)](Instant at, PlatformResult<TransactionResult>) {
+        std::move(transaction), [this, alive = std::weak_ptr(m_alive)](Instant at, StoreResult<TransactionResult>) {
             if (!alive.expired())
                 finishPage(at);
         });
--- a/Source/Patient/ActionRetention.h
+++ b/Source/Patient/ActionRetention.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "Patient/ActionRecord.h"
-#include "Platform/Platform.h"
+#include "Store/Store.h"
 
 #include <functional>
 #include <memory>
--- a/Source/Patient/ActionRunner.cpp
+++ b/Source/Patient/ActionRunner.cpp
@@ -141,7 +141,7 @@
         return;
     m_isScanning = true;
     m_ports.table.scan(openActionPrefix(m_options.partition), m_options.scanRows, m_scanAfter,
-        [this, alive = std::weak_ptr(m_alive)](Instant at, PlatformResult<ScanPage> result) {
+        [this, alive = std::weak_ptr(m_alive)](Instant at, StoreResult<ScanPage> result) {
             if (alive.expired())
                 return;
             m_isScanning = false;
@@ -246,7 +246,7 @@
     tracked.stage = Stage::LoadingBody;
     tracked.wakeAt = never;
     m_ports.objects.get(tracked.record.bodyObject,
-        [this, alive = std::weak_ptr(m_alive), token = tracked.token](Instant now, PlatformResult<std::string> result) {
+        [this, alive = std::weak_ptr(m_alive), token = tracked.token](Instant now, StoreResult<std::string> result) {
             if (alive.expired())
                 return;
             auto* it = find(token);
@@ -333,15 +333,15 @@
     tracked.wakeAt = never;
     auto name = resultObjectName(tracked.token, tracked.record.attempts);
     m_ports.objects.put(name, tracked.answer.body,
-        [this, alive = std::weak_ptr(m_alive), token = tracked.token, name](Instant now, PlatformResult<Done> result) {
+        [this, alive = std::weak_ptr(m_alive), token = tracked.token, name](Instant now, StoreResult<Done> result) {
             if (alive.expired())
                 return;
             auto* it = find(token);
             if (!it || it->stage != Stage::StoringResult)
                 return;
             bool isRejected = !result
-                && (result.error().code == PlatformErrorCode::Conflict
-                    || result.error().code == PlatformErrorCode::Malformed);
+                && (result.error().code == StoreErrorCode::Conflict
+                    || result.error().code == StoreErrorCode::Malformed);
             if (!result && !isRejected) {
                 it->wakeAt = now + std::max(nextBackoff(*it), result.error().retryAfter);
                 return;
@@ -430,7 +430,7 @@
     }
     m_isWriting = true;
     m_resolver.transact(now, makeTransaction(now, batch), now + m_options.resolveTime,
-        [this, alive = std::weak_ptr(m_alive), batch](Instant at, PlatformResult<TransactionResult> result) {
+        [this, alive = std::weak_ptr(m_alive), batch](Instant at, StoreResult<TransactionResult> result) {
             if (!alive.expired())
                 noteBatch(at, batch, result);
         });
@@ -461,7 +461,7 @@
     return transaction;
 }
 
-void ActionRunner::noteBatch(Instant now, const Batch& batch, const PlatformResult<TransactionResult>& result)
+void ActionRunner::noteBatch(Instant now, const Batch& batch, const StoreResult<TransactionResult>& result)
 {
     m_isWriting = false;
     // The lease may have lapsed while the claims were written; nothing is sent without it.
@@ -474,12 +474,12 @@
         return;
     }
     auto& error = result.error();
-    if (error.code == PlatformErrorCode::Conflict && error.key == fenceKey(partitionLeaseName(m_options.partition))) {
+    if (error.code == StoreErrorCode::Conflict && error.key == fenceKey(partitionLeaseName(m_options.partition))) {
         stop("a newer holder has the lease");
         return;
     }
-    bool isUnapplied = error.code == PlatformErrorCode::Unavailable || error.code == PlatformErrorCode::Throttled;
-    if (error.code == PlatformErrorCode::Conflict) {
+    bool isUnapplied = error.code == StoreErrorCode::Unavailable || error.code == StoreErrorCode::Throttled;
+    if (error.code == StoreErrorCode::Conflict) {
         // Another writer changed one row; the next scan reads it again.
         for (auto& token : batch) {
             if (openActionKey(token) == error.key)
@@ -489,7 +489,7 @@
     } else if (isUnapplied) {
         m_flushAt = now + std::max(error.retryAfter, m_options.backoffMin);
         requeue(batch);
-    } else if (error.code == PlatformErrorCode::Malformed && batch.size() > 1) {
+    } else if (error.code == StoreErrorCode::Malformed && batch.size() > 1) {
         m_batchLimit = 1;
         requeue(batch);
     } else {
--- a/Source/Patient/ActionRunner.h
+++ b/Source/Patient/ActionRunner.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "Patient/ActionRecord.h"
-#include "Platform/Platform.h"
+#include "Store/Store.h"
 
 #include <deque>
 #include <functional>
@@ -145,7 +145,7 @@
     void enqueue(Tracked&, bool isUrgent);
     void flush(Instant now);
     Transaction makeTransaction(Instant now, const Batch&);
-    void noteBatch(Instant now, const Batch&, const PlatformResult<TransactionResult>&);
+    void noteBatch(Instant now, const Batch&, const StoreResult<TransactionResult>&);
     void applyBatch(Instant now, const Batch&, const TransactionResult&);
     void requeue(const Batch&);
     Tracked* find(std::string_view token);
--- a/Source/Patient/ActionStatus.cpp
+++ b/Source/Patient/ActionStatus.cpp
@@ -25,31 +25,30 @@
 void ActionStatus::read(std::shared_ptr<Query> query, bool isOpen)
 {
     auto key = isOpen ? openActionKey(query->token) : endedActionKey(query->token);
-    m_table.get(
-        key, [this, alive = std::weak_ptr(m_alive), query, isOpen](Instant now, PlatformResult<TableRow> result) {
-            if (alive.expired())
-                return;
-            if (!result && result.error().code == PlatformErrorCode::NotFound) {
-                if (isOpen)
-                    read(query, false);
-                else
-                    query->callback(now, ActionNotFound {});
-                return;
-            }
-            auto record = result ? decodeActionRecord(result.value().value) : std::nullopt;
-            if (!record) {
-                auto wait = result ? m_retryAfter : std::max(m_retryAfter, result.error().retryAfter);
-                query->callback(now, ActionStatusUnavailable { .retryAfter = wait });
-            } else if (query->tenant && record->tenant != *query->tenant) {
+    m_table.get(key, [this, alive = std::weak_ptr(m_alive), query, isOpen](Instant now, StoreResult<TableRow> result) {
+        if (alive.expired())
+            return;
+        if (!result && result.error().code == StoreErrorCode::NotFound) {
+            if (isOpen)
+                read(query, false);
+            else
                 query->callback(now, ActionNotFound {});
-            } else if (!record->resultObject.empty()) {
-                readResult(query, std::move(*record));
-            } else {
-                query->callback(now,
-                    ActionFound {
-                        .service = record->service, .state = record->state, .result = std::move(record->result) });
-            }
-        });
+            return;
+        }
+        auto record = result ? decodeActionRecord(result.value().value) : std::nullopt;
+        if (!record) {
+            auto wait = result ? m_retryAfter : std::max(m_retryAfter, result.error().retryAfter);
+            query->callback(now, ActionStatusUnavailable { .retryAfter = wait });
+        } else if (query->tenant && record->tenant != *query->tenant) {
+            query->callback(now, ActionNotFound {});
+        } else if (!record->resultObject.empty()) {
+            readResult(query, std::move(*record));
+        } else {
+            query->callback(now,
+                ActionFound {
+                    .service = record->service, .state = record->state, .result = std::move(record->result) });
+        }
+    });
 }
 
 void ActionStatus::readResult(std::shared_ptr<Query> query, ActionRecord record)
@@ -57,7 +56,7 @@
     auto name = record.resultObject;
     m_objects.get(name,
         [this, alive = std::weak_ptr(m_alive), query, record = std::move(record)](
-            Instant now, PlatformResult<std::string> result) {
+            Instant now, StoreResult<std::string> result) {
             if (alive.expired())
                 return;
             if (!result) {
--- a/Source/Schema/Platform.capnp
+++ b/Source/Schema/Store.capnp
@@ -5,7 +5,7 @@
 using Cxx = import "/capnp/c++.capnp";
 using Json = import "/capnp/compat/json.capnp";
 
-$Cxx.namespace("Berylport::PlatformSchema");
+$Cxx.namespace("Berylport::StoreSchema");
 
 struct KeyRequest {
   key @0 :Text;
--- a/Source/Platform/HttpObjectClient.cpp
+++ b/Source/Store/HttpObjectClient.cpp
@@ -1,7 +1,7 @@
 // Requests to the object store.
-#include "Platform/HttpObjectClient.h"
+#include "Store/HttpObjectClient.h"
 
-#include "Platform/HttpStoreClient.h"
+#include "Store/HttpStoreClient.h"
 
 namespace Berylport {
 
--- a/Source/Platform/HttpObjectClient.h
+++ b/Source/Store/HttpObjectClient.h
@@ -1,8 +1,8 @@
 // ObjectClient over HTTP with JSON bodies.
 #pragma once
 
-#include "Platform/HttpClientOptions.h"
-#include "Platform/ObjectClient.h"
+#include "Store/HttpClientOptions.h"
+#include "Store/ObjectClient.h"
 
 #include <memory>
 
--- a/Source/Platform/HttpStoreClient.cpp
+++ b/Source/Store/HttpStoreClient.cpp
@@ -1,6 +1,6 @@
 // evhttp client. Callbacks of evhttp only record what happened; a deferred event then completes requests and frees
 // connections, as neither may happen inside evhttp's own callbacks.
-#include "Platform/HttpStoreClient.h"
+#include "Store/HttpStoreClient.h"
 
 #include "Base/Random.h"
 
@@ -297,10 +297,10 @@
     m_implementation->send({ .path = path, .body = std::move(body) }, std::move(callback));
 }
 
-PlatformError storeError(StoreOperation operation, const StoreReply& reply)
+StoreError storeError(StoreOperation operation, const StoreReply& reply)
 {
     if (auto* silence = std::get_if<StoreSilence>(&reply)) {
-        auto code = silence->isUnsent ? PlatformErrorCode::Unavailable : PlatformErrorCode::Timeout;
+        auto code = silence->isUnsent ? StoreErrorCode::Unavailable : StoreErrorCode::Timeout;
         return { .code = code, .text = silence->text };
     }
     auto& answer = std::get<StoreAnswer>(reply);
@@ -309,7 +309,7 @@
             return *error;
     }
     // The store may have carried out a write whose answer is unreadable.
-    auto code = operation == StoreOperation::Write ? PlatformErrorCode::Timeout : PlatformErrorCode::Malformed;
+    auto code = operation == StoreOperation::Write ? StoreErrorCode::Timeout : StoreErrorCode::Malformed;
     return { .code = code, .text = "unreadable answer with status " + std::to_string(answer.status) };
 }
 
--- a/Source/Platform/HttpStoreClient.h
+++ b/Source/Store/HttpStoreClient.h
@@ -1,9 +1,9 @@
 // HTTP transport shared by the clients of both stores: bounded, with a timeout and a circuit breaker.
 #pragma once
 
-#include "Platform/HttpClientOptions.h"
-#include "Platform/PlatformError.h"
-#include "Platform/StoreMessages.h"
+#include "Store/HttpClientOptions.h"
+#include "Store/StoreError.h"
+#include "Store/StoreMessages.h"
 
 #include <functional>
 #include <memory>
@@ -66,7 +66,7 @@
 };
 
 // The error of an unanswered or failed request.
-PlatformError storeError(StoreOperation, const StoreReply&);
+StoreError storeError(StoreOperation, const StoreReply&);
 
 // Posts and converts the answer with `decode(string_view) -> optional<T>`.
 template <typename T, typename Decode>
--- a/Source/Platform/HttpTableClient.cpp
+++ b/Source/Store/HttpTableClient.cpp
@@ -1,7 +1,7 @@
 // Requests to the table service.
-#include "Platform/HttpTableClient.h"
+#include "Store/HttpTableClient.h"
 
-#include "Platform/HttpStoreClient.h"
+#include "Store/HttpStoreClient.h"
 
 namespace Berylport {
 
--- a/Source/Platform/HttpTableClient.h
+++ b/Source/Store/HttpTableClient.h
@@ -1,8 +1,8 @@
 // TableClient over HTTP with JSON bodies.
 #pragma once
 
-#include "Platform/HttpClientOptions.h"
-#include "Platform/TableClient.h"
+#include "Store/HttpClientOptions.h"
+#include "Store/TableClient.h"
 
 #include <memory>
 
--- a/Source/Platform/LeaseDriver.h
+++ b/Source/Store/LeaseDriver.h
@@ -1,7 +1,7 @@
 // Runs a LeaseKeeper over a TableClient.
 #pragma once
 
-#include "Platform/LeaseKeeper.h"
+#include "Store/LeaseKeeper.h"
 
 #include <memory>
 
--- a/Source/Platform/LeaseKeeper.cpp
+++ b/Source/Store/LeaseKeeper.cpp
@@ -1,5 +1,5 @@
 // The lease protocol.
-#include "Platform/LeaseKeeper.h"
+#include "Store/LeaseKeeper.h"
 
 #include <algorithm>
 
@@ -138,10 +138,10 @@
     }
 }
 
-void LeaseKeeper::readFinished(Instant now, const PlatformResult<TableRow>& result)
+void LeaseKeeper::readFinished(Instant now, const StoreResult<TableRow>& result)
 {
     m_isReading = false;
-    if (!result && result.error().code != PlatformErrorCode::NotFound) {
+    if (!result && result.error().code != StoreErrorCode::NotFound) {
         m_nextRead = now + std::max(m_options.retryPause, result.error().retryAfter);
         return;
     }
@@ -183,7 +183,7 @@
 }
 
 void LeaseKeeper::writeFinished(
-    Instant now, std::string_view requestToken, const PlatformResult<TransactionResult>& result)
+    Instant now, std::string_view requestToken, const StoreResult<TransactionResult>& result)
 {
     loseWhenLapsed(now);
     // The result of a write that has been given up.
@@ -197,10 +197,10 @@
     }
     auto& error = result.error();
     auto retryAt = now + std::max(m_options.retryPause, error.retryAfter);
-    if (error.code == PlatformErrorCode::Timeout)
+    if (error.code == StoreErrorCode::Timeout)
         m_write->mayHaveApplied = true;
-    bool isUncertain = error.code == PlatformErrorCode::Timeout || error.code == PlatformErrorCode::Unavailable
-        || error.code == PlatformErrorCode::Throttled;
+    bool isUncertain = error.code == StoreErrorCode::Timeout || error.code == StoreErrorCode::Unavailable
+        || error.code == StoreErrorCode::Throttled;
     if (m_write->mayHaveApplied && isUncertain) {
         m_write->sendAt = retryAt;
         return;
@@ -215,7 +215,7 @@
     // Another holder wrote the row, or it is unusable.
     m_mustRelease = false;
     lose(now);
-    if (error.code != PlatformErrorCode::Conflict)
+    if (error.code != StoreErrorCode::Conflict)
         m_nextRead = retryAt;
 }
 
--- a/Source/Platform/LeaseKeeper.h
+++ b/Source/Store/LeaseKeeper.h
@@ -1,8 +1,8 @@
 // Keeps one lease with a fencing token. Pure: it says what to read and write and is told the results.
 #pragma once
 
-#include "Platform/LeaseRecord.h"
-#include "Platform/TableClient.h"
+#include "Store/LeaseRecord.h"
+#include "Store/TableClient.h"
 
 #include <optional>
 #include <string>
@@ -75,8 +75,8 @@
 
     void tick(Instant now, std::vector<LeaseAction>&);
     // Results of the last ReadLease and WriteLease. A write's result is named by its request token.
-    void readFinished(Instant now, const PlatformResult<TableRow>&);
-    void writeFinished(Instant now, std::string_view requestToken, const PlatformResult<TransactionResult>&);
+    void readFinished(Instant now, const StoreResult<TableRow>&);
+    void writeFinished(Instant now, std::string_view requestToken, const StoreResult<TransactionResult>&);
     // Time of the next `tick`. After `readFinished` and `writeFinished` it may be earlier than before.
     std::optional<Instant> nextWake() const;
 
--- a/Source/Platform/LeaseRecord.cpp
+++ b/Source/Store/LeaseRecord.cpp
@@ -1,14 +1,14 @@
 // JSON form of a lease row.
-#include "Platform/LeaseRecord.h"
+#include "Store/LeaseRecord.h"
 
-#include "Platform.capnp.h"
-#include "Platform/JsonCodec.h"
+#include "Store.capnp.h"
+#include "Store/JsonCodec.h"
 
 namespace Berylport {
 
 std::string encodeLeaseRecord(const LeaseRecord& record)
 {
-    return Json::encode<PlatformSchema::LeaseRecord>([&](auto out) {
+    return Json::encode<StoreSchema::LeaseRecord>([&](auto out) {
         out.setHolder(record.holder.value);
         out.setFencingToken(record.fencingToken);
         out.setDurationUs(record.duration.count());
@@ -18,7 +18,7 @@
 std::optional<LeaseRecord> decodeLeaseRecord(std::string_view text)
 {
     LeaseRecord record;
-    bool isValid = Json::decode<PlatformSchema::LeaseRecord>(text, [&](auto in) {
+    bool isValid = Json::decode<StoreSchema::LeaseRecord>(text, [&](auto in) {
         record = { .holder = NodeId { in.getHolder() },
             .fencingToken = in.getFencingToken(),
             .duration = Duration(in.getDurationUs()) };
--- a/Source/Platform/ObjectClient.h
+++ b/Source/Store/ObjectClient.h
@@ -1,7 +1,7 @@
 // The platform's object store: immutable objects by name.
 #pragma once
 
-#include "Platform/PlatformError.h"
+#include "Store/StoreError.h"
 
 #include <string>
 
--- a/Source/Platform/PlatformError.h
+++ b/Source/Store/StoreError.h
@@ -11,7 +11,7 @@
 
 namespace Berylport {
 
-enum class PlatformErrorCode : uint8_t {
+enum class StoreErrorCode : uint8_t {
     // The request was not carried out and will not be.
     Unavailable,
     // No answer came. A write may have taken effect or may still do so.
@@ -27,29 +27,29 @@
     HistoryLost,
 };
 
-constexpr std::string_view toText(PlatformErrorCode code)
+constexpr std::string_view toText(StoreErrorCode code)
 {
     switch (code) {
-    case PlatformErrorCode::Unavailable:
+    case StoreErrorCode::Unavailable:
         return "unavailable";
-    case PlatformErrorCode::Timeout:
+    case StoreErrorCode::Timeout:
         return "timeout";
-    case PlatformErrorCode::Conflict:
+    case StoreErrorCode::Conflict:
         return "conflict";
-    case PlatformErrorCode::NotFound:
+    case StoreErrorCode::NotFound:
         return "not-found";
-    case PlatformErrorCode::Malformed:
+    case StoreErrorCode::Malformed:
         return "malformed";
-    case PlatformErrorCode::Throttled:
+    case StoreErrorCode::Throttled:
         return "throttled";
-    case PlatformErrorCode::HistoryLost:
+    case StoreErrorCode::HistoryLost:
         return "history-lost";
     }
     return "unknown";
 }
 
-struct PlatformError {
-    PlatformErrorCode code { PlatformErrorCode::Unavailable };
+struct StoreError {
+    StoreErrorCode code { StoreErrorCode::Unavailable };
     // Conflict only: the row whose condition failed and the version found there, zero when the row is absent.
     std::string key {};
     uint64_t versionFound { 0 };
@@ -57,14 +57,14 @@
     Duration retryAfter {};
     // For logs.
     std::string text {};
-    bool operator==(const PlatformError&) const = default;
+    bool operator==(const StoreError&) const = default;
 };
 
-template <typename T> using PlatformResult = Result<T, PlatformError>;
+template <typename T> using StoreResult = Result<T, StoreError>;
 
 // Called once, later than the call that it completes and never from inside it, with the time of the completion. Not
 // called when the client is destroyed first.
-template <typename T> using Completion = std::function<void(Instant now, PlatformResult<T>)>;
+template <typename T> using Completion = std::function<void(Instant now, StoreResult<T>)>;
 
 // Result of an operation that returns no data.
 struct Done {
--- a/Source/Platform/StoreMessages.cpp
+++ b/Source/Store/StoreMessages.cpp
@@ -1,9 +1,9 @@
 // Conversion between the plain types and the schema's messages.
-#include "Platform/StoreMessages.h"
+#include "Store/StoreMessages.h"
 
 #include "Base/Overloaded.h"
-#include "Platform.capnp.h"
-#include "Platform/JsonCodec.h"
+#include "Store.capnp.h"
+#include "Store/JsonCodec.h"
 
 #include <algorithm>
 
@@ -14,21 +14,21 @@
 using Json::toData;
 using Json::toString;
 
-void fillRow(PlatformSchema::Row::Builder out, const TableRow& row)
+void fillRow(StoreSchema::Row::Builder out, const TableRow& row)
 {
     out.setKey(row.key);
     out.setValue(toData(row.value));
     out.setVersion(row.version);
 }
 
-TableRow readRow(PlatformSchema::Row::Reader in)
+TableRow readRow(StoreSchema::Row::Reader in)
 {
     return { .key = toString(in.getKey()), .value = toString(in.getValue()), .version = in.getVersion() };
 }
 
-void fillCheck(PlatformSchema::Check::Builder out, const TableCheck& check)
+void fillCheck(StoreSchema::Check::Builder out, const TableCheck& check)
 {
-    using Requirement = PlatformSchema::Check::Requirement;
+    using Requirement = StoreSchema::Check::Requirement;
     out.setKey(check.key);
     std::visit(Overloaded {
                    [&](const AnyVersion&) { out.setRequirement(Requirement::ANY); },
@@ -41,9 +41,9 @@
         check.requirement);
 }
 
-TableCheck readCheck(PlatformSchema::Check::Reader in)
+TableCheck readCheck(StoreSchema::Check::Reader in)
 {
-    using Requirement = PlatformSchema::Check::Requirement;
+    using Requirement = StoreSchema::Check::Requirement;
     TableCheck check { .key = toString(in.getKey()), .requirement = AnyVersion {} };
     if (in.getRequirement() == Requirement::ABSENT)
         check.requirement = RowAbsent {};
@@ -64,17 +64,17 @@
 
 std::string encodeKey(std::string_view key)
 {
-    return Json::encode<PlatformSchema::KeyRequest>([&](auto out) { out.setKey(std::string(key)); });
+    return Json::encode<StoreSchema::KeyRequest>([&](auto out) { out.setKey(std::string(key)); });
 }
 
 std::optional<std::string> decodeKey(std::string_view text)
 {
-    return decodeAs<PlatformSchema::KeyRequest, std::string>(text, [](auto in) { return toString(in.getKey()); });
+    return decodeAs<StoreSchema::KeyRequest, std::string>(text, [](auto in) { return toString(in.getKey()); });
 }
 
 std::string encodeScan(const ScanRequest& request)
 {
-    return Json::encode<PlatformSchema::ScanRequest>([&](auto out) {
+    return Json::encode<StoreSchema::ScanRequest>([&](auto out) {
         out.setPrefix(request.prefix);
         out.setLimit(request.limit);
         out.setAfter(request.after);
@@ -83,7 +83,7 @@
 
 std::optional<ScanRequest> decodeScan(std::string_view text)
 {
-    return decodeAs<PlatformSchema::ScanRequest, ScanRequest>(text, [](auto in) {
+    return decodeAs<StoreSchema::ScanRequest, ScanRequest>(text, [](auto in) {
         return ScanRequest {
             .prefix = toString(in.getPrefix()), .limit = in.getLimit(), .after = toString(in.getAfter())
         };
@@ -92,7 +92,7 @@
 
 std::string encodeTransaction(const Transaction& transaction)
 {
-    return Json::encode<PlatformSchema::TransactRequest>([&](auto out) {
+    return Json::encode<StoreSchema::TransactRequest>([&](auto out) {
         out.setToken(transaction.token);
         auto checks = out.initChecks(transaction.checks.size());
         for (unsigned n = 0; n < checks.size(); ++n)
@@ -110,7 +110,7 @@
 
 std::optional<Transaction> decodeTransaction(std::string_view text)
 {
-    return decodeAs<PlatformSchema::TransactRequest, Transaction>(text, [](auto in) {
+    return decodeAs<StoreSchema::TransactRequest, Transaction>(text, [](auto in) {
         Transaction transaction { .token = toString(in.getToken()), .checks = {}, .puts = {}, .deletes = {} };
         for (auto it : in.getChecks())
             transaction.checks.push_back(readCheck(it));
@@ -124,7 +124,7 @@
 
 std::string encodeObjectPut(const ObjectPutRequest& request)
 {
-    return Json::encode<PlatformSchema::ObjectPut>([&](auto out) {
+    return Json::encode<StoreSchema::ObjectPut>([&](auto out) {
         out.setName(request.name);
         out.setBytes(toData(request.bytes));
     });
@@ -132,23 +132,23 @@
 
 std::optional<ObjectPutRequest> decodeObjectPut(std::string_view text)
 {
-    return decodeAs<PlatformSchema::ObjectPut, ObjectPutRequest>(text,
+    return decodeAs<StoreSchema::ObjectPut, ObjectPutRequest>(text,
         [](auto in) { return ObjectPutRequest { .name = toString(in.getName()), .bytes = toString(in.getBytes()) }; });
 }
 
 std::string encodeRow(const TableRow& row)
 {
-    return Json::encode<PlatformSchema::Row>([&](auto out) { fillRow(out, row); });
+    return Json::encode<StoreSchema::Row>([&](auto out) { fillRow(out, row); });
 }
 
 std::optional<TableRow> decodeRow(std::string_view text)
 {
-    return decodeAs<PlatformSchema::Row, TableRow>(text, [](auto in) { return readRow(in); });
+    return decodeAs<StoreSchema::Row, TableRow>(text, [](auto in) { return readRow(in); });
 }
 
 std::string encodeScanPage(const ScanPage& page)
 {
-    return Json::encode<PlatformSchema::ScanReply>([&](auto out) {
+    return Json::encode<StoreSchema::ScanReply>([&](auto out) {
         auto rows = out.initRows(page.rows.size());
         for (unsigned n = 0; n < rows.size(); ++n)
             fillRow(rows[n], page.rows[n]);
@@ -158,7 +158,7 @@
 
 std::optional<ScanPage> decodeScanPage(std::string_view text)
 {
-    return decodeAs<PlatformSchema::ScanReply, ScanPage>(text, [](auto in) {
+    return decodeAs<StoreSchema::ScanReply, ScanPage>(text, [](auto in) {
         ScanPage page { .rows = {}, .hasMore = in.getHasMore() };
         for (auto it : in.getRows())
             page.rows.push_back(readRow(it));
@@ -168,7 +168,7 @@
 
 std::string encodeTransactionResult(const TransactionResult& result)
 {
-    return Json::encode<PlatformSchema::TransactReply>([&](auto out) {
+    return Json::encode<StoreSchema::TransactReply>([&](auto out) {
         auto versions = out.initVersions(result.versions.size());
         for (unsigned n = 0; n < versions.size(); ++n)
             versions.set(n, result.versions[n]);
@@ -177,7 +177,7 @@
 
 std::optional<TransactionResult> decodeTransactionResult(std::string_view text)
 {
-    return decodeAs<PlatformSchema::TransactReply, TransactionResult>(text, [](auto in) {
+    return decodeAs<StoreSchema::TransactReply, TransactionResult>(text, [](auto in) {
         TransactionResult result;
         for (auto it : in.getVersions())
             result.versions.push_back(it);
@@ -187,25 +187,25 @@
 
 std::string encodeObjectBytes(std::string_view bytes)
 {
-    return Json::encode<PlatformSchema::ObjectBytes>([&](auto out) { out.setBytes(toData(bytes)); });
+    return Json::encode<StoreSchema::ObjectBytes>([&](auto out) { out.setBytes(toData(bytes)); });
 }
 
 std::optional<std::string> decodeObjectBytes(std::string_view text)
 {
-    return decodeAs<PlatformSchema::ObjectBytes, std::string>(text, [](auto in) { return toString(in.getBytes()); });
+    return decodeAs<StoreSchema::ObjectBytes, std::string>(text, [](auto in) { return toString(in.getBytes()); });
 }
 
 std::string encodeDone() { return "{}"; }
 
 std::optional<Done> decodeDone(std::string_view text)
 {
-    return decodeAs<PlatformSchema::Empty, Done>(text, [](auto) { return Done {}; });
+    return decodeAs<StoreSchema::Empty, Done>(text, [](auto) { return Done {}; });
 }
 
-std::string encodeError(const PlatformError& error)
+std::string encodeError(const StoreError& error)
 {
-    return Json::encode<PlatformSchema::Failure>([&](auto out) {
-        out.setCode(static_cast<PlatformSchema::Failure::Code>(error.code));
+    return Json::encode<StoreSchema::Failure>([&](auto out) {
+        out.setCode(static_cast<StoreSchema::Failure::Code>(error.code));
         out.setKey(error.key);
         out.setVersionFound(error.versionFound);
         out.setRetryAfterMs(static_cast<uint32_t>(std::max<int64_t>(0, toMilliseconds(error.retryAfter))));
@@ -213,10 +213,10 @@
     });
 }
 
-std::optional<PlatformError> decodeError(std::string_view text)
+std::optional<StoreError> decodeError(std::string_view text)
 {
-    return decodeAs<PlatformSchema::Failure, PlatformError>(text, [](auto in) {
-        return PlatformError { .code = static_cast<PlatformErrorCode>(in.getCode()),
+    return decodeAs<StoreSchema::Failure, StoreError>(text, [](auto in) {
+        return StoreError { .code = static_cast<StoreErrorCode>(in.getCode()),
             .key = toString(in.getKey()),
             .versionFound = in.getVersionFound(),
             .retryAfter = std::chrono::milliseconds(in.getRetryAfterMs()),
@@ -224,22 +224,22 @@
     });
 }
 
-int statusOf(PlatformErrorCode code)
+int statusOf(StoreErrorCode code)
 {
     switch (code) {
-    case PlatformErrorCode::Unavailable:
+    case StoreErrorCode::Unavailable:
         return 503;
-    case PlatformErrorCode::Timeout:
+    case StoreErrorCode::Timeout:
         return 504;
-    case PlatformErrorCode::Conflict:
+    case StoreErrorCode::Conflict:
         return 409;
-    case PlatformErrorCode::NotFound:
+    case StoreErrorCode::NotFound:
         return 404;
-    case PlatformErrorCode::Malformed:
+    case StoreErrorCode::Malformed:
         return 400;
-    case PlatformErrorCode::Throttled:
+    case StoreErrorCode::Throttled:
         return 429;
-    case PlatformErrorCode::HistoryLost:
+    case StoreErrorCode::HistoryLost:
         return 410;
     }
     return 500;
--- a/Source/Platform/StoreMessages.h
+++ b/Source/Store/StoreMessages.h
@@ -1,8 +1,8 @@
 // JSON bodies of requests to the stores and of their answers, as plain types. Shared with the stand-ins.
 #pragma once
 
-#include "Platform/ObjectClient.h"
-#include "Platform/TableClient.h"
+#include "Store/ObjectClient.h"
+#include "Store/TableClient.h"
 
 #include <optional>
 #include <string>
@@ -49,10 +49,10 @@
 std::optional<std::string> decodeObjectBytes(std::string_view);
 std::string encodeDone();
 std::optional<Done> decodeDone(std::string_view);
-std::string encodeError(const PlatformError&);
-std::optional<PlatformError> decodeError(std::string_view);
+std::string encodeError(const StoreError&);
+std::optional<StoreError> decodeError(std::string_view);
 
 // HTTP status of an answer that carries this error.
-int statusOf(PlatformErrorCode);
+int statusOf(StoreErrorCode);
 
 } // namespace Berylport
--- a/Source/Platform/TableClient.h
+++ b/Source/Store/TableClient.h
@@ -1,7 +1,7 @@
 // The platform's transactional table service: rows with versions, conditional transactions with client request tokens.
 #pragma once
 
-#include "Platform/PlatformError.h"
+#include "Store/StoreError.h"
 
 #include <cstdint>
 #include <string>
--- a/Source/Platform/WriteBudget.cpp
+++ b/Source/Store/WriteBudget.cpp
@@ -1,5 +1,5 @@
 // Token bucket arithmetic.
-#include "Platform/WriteBudget.h"
+#include "Store/WriteBudget.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Source/Platform/WriteResolver.cpp
+++ b/Source/Store/WriteResolver.cpp
@@ -1,5 +1,5 @@
 // Repetition and its end.
-#include "Platform/WriteResolver.h"
+#include "Store/WriteResolver.h"
 
 #include <algorithm>
 #include <vector>
@@ -29,14 +29,14 @@
 {
     auto& write = m_state->writes.at(number);
     write.sendAt.reset();
-    m_table.transact(write.transaction,
-        [weak = std::weak_ptr(m_state), number](Instant now, PlatformResult<TransactionResult> result) {
+    m_table.transact(
+        write.transaction, [weak = std::weak_ptr(m_state), number](Instant now, StoreResult<TransactionResult> result) {
             if (auto state = weak.lock())
                 noteResult(*state, now, number, std::move(result));
         });
 }
 
-void WriteResolver::noteResult(State& state, Instant now, uint64_t number, PlatformResult<TransactionResult> result)
+void WriteResolver::noteResult(State& state, Instant now, uint64_t number, StoreResult<TransactionResult> result)
 {
     auto it = state.writes.find(number);
     // Given up meanwhile.
@@ -48,10 +48,10 @@
         return;
     }
     auto code = result.error().code;
-    if (code == PlatformErrorCode::Timeout)
+    if (code == StoreErrorCode::Timeout)
         write.mayHaveApplied = true;
-    bool isUncertain = code == PlatformErrorCode::Timeout || code == PlatformErrorCode::Unavailable
-        || code == PlatformErrorCode::Throttled;
+    bool isUncertain
+        = code == StoreErrorCode::Timeout || code == StoreErrorCode::Unavailable || code == StoreErrorCode::Throttled;
     if (!write.mayHaveApplied || !isUncertain) {
         complete(state, now, number, std::move(result));
         return;
@@ -60,7 +60,7 @@
     write.pause = std::min(write.pause * 2, state.options.pauseMax);
 }
 
-void WriteResolver::complete(State& state, Instant now, uint64_t number, PlatformResult<TransactionResult> result)
+void WriteResolver::complete(State& state, Instant now, uint64_t number, StoreResult<TransactionResult> result)
 {
     auto node = state.writes.extract(number);
     if (node.empty())
@@ -84,8 +84,7 @@
         send(number);
     for (auto number : expired) {
         complete(*state, now, number,
-            PlatformError {
-                .code = PlatformErrorCode::Timeout, .text = "result of the write is unknown at its deadline" });
+            StoreError { .code = StoreErrorCode::Timeout, .text = "result of the write is unknown at its deadline" });
     }
 }
 
--- a/Source/Platform/WriteResolver.h
+++ b/Source/Store/WriteResolver.h
@@ -1,7 +1,7 @@
 // Repeats a transaction whose result is unknown, with the same request token, until the store tells its result.
 #pragma once
 
-#include "Platform/TableClient.h"
+#include "Store/TableClient.h"
 
 #include <cstdint>
 #include <map>
@@ -49,8 +49,8 @@
     };
 
     void send(uint64_t number);
-    static void noteResult(State&, Instant now, uint64_t number, PlatformResult<TransactionResult>);
-    static void complete(State&, Instant now, uint64_t number, PlatformResult<TransactionResult>);
+    static void noteResult(State&, Instant now, uint64_t number, StoreResult<TransactionResult>);
+    static void complete(State&, Instant now, uint64_t number, StoreResult<TransactionResult>);
 
     TableClient& m_table;
     std::shared_ptr<State> m_state;
--- a/StandIns/Common/FaultInjector.cpp
+++ b/StandIns/Common/FaultInjector.cpp
@@ -1,8 +1,8 @@
 // Choice of faults and the JSON form of their settings.
 #include "StandIns/Common/FaultInjector.h"
 
-#include "Platform.capnp.h"
-#include "Platform/JsonCodec.h"
+#include "Store.capnp.h"
+#include "Store/JsonCodec.h"
 
 #include <cmath>
 
@@ -18,7 +18,7 @@
 std::optional<FaultSettings> decodeFaultSettings(std::string_view json)
 {
     FaultSettings settings;
-    bool isValid = Json::decode<PlatformSchema::FaultControl>(json, [&](auto in) {
+    bool isValid = Json::decode<StoreSchema::FaultControl>(json, [&](auto in) {
         settings = { .down = static_cast<DownMode>(in.getDown()),
             .slow = std::chrono::milliseconds(in.getSlowMs()),
             .dropNext = in.getDropNext(),
@@ -38,8 +38,8 @@
 
 std::string encodeFaultSettings(const FaultSettings& settings)
 {
-    return Json::encode<PlatformSchema::FaultControl>([&](auto out) {
-        out.setDown(static_cast<PlatformSchema::FaultControl::Down>(settings.down));
+    return Json::encode<StoreSchema::FaultControl>([&](auto out) {
+        out.setDown(static_cast<StoreSchema::FaultControl::Down>(settings.down));
         out.setSlowMs(static_cast<uint32_t>(toMilliseconds(settings.slow)));
         out.setDropNext(settings.dropNext);
         out.setDropRate(settings.dropRate);
@@ -53,7 +53,7 @@
 
 std::string encodeCounters(const StoreCounters& counters)
 {
-    return Json::encode<PlatformSchema::StoreCounters>([&](auto out) {
+    return Json::encode<StoreSchema::StoreCounters>([&](auto out) {
         out.setReads(counters.reads);
         out.setWrites(counters.writes);
         out.setRowsWritten(counters.rowsWritten);
@@ -69,7 +69,7 @@
 std::optional<StoreCounters> decodeCounters(std::string_view json)
 {
     StoreCounters counters;
-    bool isValid = Json::decode<PlatformSchema::StoreCounters>(json, [&](auto in) {
+    bool isValid = Json::decode<StoreSchema::StoreCounters>(json, [&](auto in) {
         counters = { .reads = in.getReads(),
             .writes = in.getWrites(),
             .rowsWritten = in.getRowsWritten(),
--- a/StandIns/Common/FaultInjector.h
+++ b/StandIns/Common/FaultInjector.h
@@ -3,7 +3,7 @@
 
 #include "Base/Random.h"
 #include "Base/Time.h"
-#include "Platform/WriteBudget.h"
+#include "Store/WriteBudget.h"
 
 #include <cstdint>
 #include <optional>
--- a/StandIns/Common/ServiceAnswers.h
+++ b/StandIns/Common/ServiceAnswers.h
@@ -1,12 +1,12 @@
 // Conversion of results to HTTP answers.
 #pragma once
 
-#include "Platform/StoreMessages.h"
 #include "StandIns/Common/StoreServer.h"
+#include "Store/StoreMessages.h"
 
 namespace Berylport {
 
-template <typename T, typename Encode> ServiceAnswer toAnswer(const PlatformResult<T>& result, Encode encode)
+template <typename T, typename Encode> ServiceAnswer toAnswer(const StoreResult<T>& result, Encode encode)
 {
     if (result)
         return { .status = 200, .body = encode(result.value()) };
@@ -16,7 +16,7 @@
 inline ServiceAnswer malformedAnswer(StoreCounters& counters)
 {
     ++counters.malformed;
-    PlatformError error { .code = PlatformErrorCode::Malformed, .text = "invalid request" };
+    StoreError error { .code = StoreErrorCode::Malformed, .text = "invalid request" };
     return { .status = statusOf(error.code), .body = encodeError(error) };
 }
 
--- a/StandIns/Common/StoreServer.cpp
+++ b/StandIns/Common/StoreServer.cpp
@@ -1,7 +1,7 @@
 // evhttp server with delayed and dropped answers.
 #include "StandIns/Common/StoreServer.h"
 
-#include "Platform/StoreMessages.h"
+#include "Store/StoreMessages.h"
 
 #include <event2/buffer.h>
 #include <event2/event.h>
@@ -182,8 +182,8 @@
         if (job.decision.isRefused) {
             job.answer = ServiceAnswer {};
         } else if (job.decision.throttledFor) {
-            auto body = encodeError({ .code = PlatformErrorCode::Throttled, .retryAfter = *job.decision.throttledFor });
-            job.answer = ServiceAnswer { .status = statusOf(PlatformErrorCode::Throttled), .body = std::move(body) };
+            auto body = encodeError({ .code = StoreErrorCode::Throttled, .retryAfter = *job.decision.throttledFor });
+            job.answer = ServiceAnswer { .status = statusOf(StoreErrorCode::Throttled), .body = std::move(body) };
         } else {
             job.answer = m_service.serve(steadyNow(), job.path, job.body);
         }
--- a/StandIns/Objects/ObjectState.h
+++ b/StandIns/Objects/ObjectState.h
@@ -1,8 +1,8 @@
 // Semantics of the object store, without network or clock. Shared by the stand-in and by the tests' fake.
 #pragma once
 
-#include "Platform/ObjectClient.h"
 #include "StandIns/Common/FaultInjector.h"
+#include "Store/ObjectClient.h"
 
 #include <string>
 #include <unordered_map>
@@ -11,9 +11,9 @@
 
 class ObjectState {
 public:
-    PlatformResult<Done> put(const std::string& name, const std::string& bytes, StoreCounters&);
-    PlatformResult<std::string> get(const std::string& name) const;
-    PlatformResult<Done> remove(const std::string& name, StoreCounters&);
+    StoreResult<Done> put(const std::string& name, const std::string& bytes, StoreCounters&);
+    StoreResult<std::string> get(const std::string& name) const;
+    StoreResult<Done> remove(const std::string& name, StoreCounters&);
     size_t objectCount() const { return m_objects.size(); }
 
 private:
--- a/StandIns/Table/TableState.cpp
+++ b/StandIns/Table/TableState.cpp
@@ -12,7 +12,7 @@
 
 constexpr size_t maxTokenBytes = 256;
 
-PlatformError malformed(std::string text) { return { .code = PlatformErrorCode::Malformed, .text = std::move(text) }; }
+StoreError malformed(std::string text) { return { .code = StoreErrorCode::Malformed, .text = std::move(text) }; }
 
 bool isKey(const std::string& key) { return !key.empty() && key.size() <= maxKeyBytes; }
 
@@ -48,15 +48,15 @@
 
 } // namespace
 
-PlatformResult<TableRow> TableState::get(const std::string& key) const
+StoreResult<TableRow> TableState::get(const std::string& key) const
 {
     auto it = m_rows.find(key);
     if (it == m_rows.end())
-        return PlatformError { .code = PlatformErrorCode::NotFound };
+        return StoreError { .code = StoreErrorCode::NotFound };
     return TableRow { .key = key, .value = it->second.value, .version = it->second.version };
 }
 
-PlatformResult<ScanPage> TableState::scan(const std::string& prefix, uint32_t limit, const std::string& after) const
+StoreResult<ScanPage> TableState::scan(const std::string& prefix, uint32_t limit, const std::string& after) const
 {
     if (!limit || limit > maxScanRows)
         return malformed("scan limit out of range");
@@ -81,7 +81,7 @@
     return it == m_rows.end() ? 0 : it->second.version;
 }
 
-std::optional<PlatformError> TableState::findFailedCheck(const Transaction& transaction) const
+std::optional<StoreError> TableState::findFailedCheck(const Transaction& transaction) const
 {
     for (auto& check : transaction.checks) {
         auto found = versionOf(check.key);
@@ -92,7 +92,7 @@
                                 },
             check.requirement);
         if (!holds)
-            return PlatformError { .code = PlatformErrorCode::Conflict, .key = check.key, .versionFound = found };
+            return StoreError { .code = StoreErrorCode::Conflict, .key = check.key, .versionFound = found };
     }
     return std::nullopt;
 }
@@ -118,7 +118,7 @@
     }
 }
 
-PlatformResult<TransactionResult> TableState::transact(
+StoreResult<TransactionResult> TableState::transact(
     Instant now, const Transaction& transaction, StoreCounters& counters)
 {
     if (auto fault = findFault(transaction)) {
@@ -137,7 +137,7 @@
     counters.conflicts += conflict.has_value();
     if (!conflict)
         counters.rowsWritten += transaction.puts.size() + transaction.deletes.size();
-    PlatformResult<TransactionResult> result = TransactionResult {};
+    StoreResult<TransactionResult> result = TransactionResult {};
     if (conflict)
         result = *conflict;
     else
--- a/StandIns/Table/TableState.h
+++ b/StandIns/Table/TableState.h
@@ -1,8 +1,8 @@
 // Semantics of the table service, without network or clock. Shared by the stand-in and by the tests' fake.
 #pragma once
 
-#include "Platform/TableClient.h"
 #include "StandIns/Common/FaultInjector.h"
+#include "Store/TableClient.h"
 
 #include <deque>
 #include <map>
@@ -19,9 +19,9 @@
         : m_tokenRetention(tokenRetention)
     {
     }
-    PlatformResult<TableRow> get(const std::string& key) const;
-    PlatformResult<ScanPage> scan(const std::string& prefix, uint32_t limit, const std::string& after) const;
-    PlatformResult<TransactionResult> transact(Instant now, const Transaction&, StoreCounters&);
+    StoreResult<TableRow> get(const std::string& key) const;
+    StoreResult<ScanPage> scan(const std::string& prefix, uint32_t limit, const std::string& after) const;
+    StoreResult<TransactionResult> transact(Instant now, const Transaction&, StoreCounters&);
     size_t rowCount() const { return m_rows.size(); }
     size_t tokenCount() const { return m_tokens.size(); }
 
@@ -32,11 +32,11 @@
     };
     struct TokenEntry {
         Transaction transaction;
-        PlatformResult<TransactionResult> result;
+        StoreResult<TransactionResult> result;
     };
 
     uint64_t versionOf(const std::string& key) const;
-    std::optional<PlatformError> findFailedCheck(const Transaction&) const;
+    std::optional<StoreError> findFailedCheck(const Transaction&) const;
     TransactionResult apply(const Transaction&);
     void forgetOldTokens(Instant now);
 
--- a/tests/Patient/NaiveRunner.h
+++ b/tests/Patient/NaiveRunner.h
@@ -20,7 +20,7 @@
         m_isBusy = true;
         m_nextScan = now + m_options.pollEvery;
         m_ports.table.scan(openActionPrefix(m_options.partition), 10, {},
-            [this, alive = std::weak_ptr(m_alive)](Instant at, PlatformResult<ScanPage> page) {
+            [this, alive = std::weak_ptr(m_alive)](Instant at, StoreResult<ScanPage> page) {
                 if (alive.expired())
                     return;
                 m_isBusy = false;
@@ -75,7 +75,7 @@
             .checks = {},
             .puts = std::move(puts),
             .deletes = std::move(deletes) };
-        m_ports.table.transact(std::move(transaction), [](Instant, PlatformResult<TransactionResult>) {});
+        m_ports.table.transact(std::move(transaction), [](Instant, StoreResult<TransactionResult>) {});
     }
 
     ActionRunnerOptions m_options;
--- a/tests/Patient/PatientWorld.h
+++ b/tests/Patient/PatientWorld.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "Patient/Patient.h"
-#include "Platform/FakeObjects.h"
-#include "Platform/FakeTable.h"
+#include "Store/FakeObjects.h"
+#include "Store/FakeTable.h"
 
 #include <map>
 #include <set>
--- a/tests/Patient/RunnerTest.cpp
+++ b/tests/Patient/RunnerTest.cpp
@@ -1,7 +1,7 @@
 // Guards against single faults of a runner that the property test could miss because another rule also covers them.
 #include "Patient/Patient.h"
-#include "Platform/FakeObjects.h"
-#include "Platform/FakeTable.h"
+#include "Store/FakeObjects.h"
+#include "Store/FakeTable.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/PlatformAdapter/StoreTest.cpp
+++ b/tests/PlatformAdapter/StoreTest.cpp
@@ -18,30 +18,30 @@
         m_ports = connectPlatformStore(base(), m_settings, 1);
     }
 
-    template <typename T> Completion<T> into(std::optional<PlatformResult<T>>& result)
+    template <typename T> Completion<T> into(std::optional<StoreResult<T>>& result)
     {
-        return [&result](Instant, PlatformResult<T> it) { result = std::move(it); };
+        return [&result](Instant, StoreResult<T> it) { result = std::move(it); };
     }
-    template <typename T> PlatformResult<T> wait(std::optional<PlatformResult<T>>& result)
+    template <typename T> StoreResult<T> wait(std::optional<StoreResult<T>>& result)
     {
         EXPECT_TRUE(runUntil([&] { return result.has_value(); }));
         return *std::exchange(result, std::nullopt);
     }
-    PlatformResult<std::vector<TableRow>> list()
+    StoreResult<std::vector<TableRow>> list()
     {
-        std::optional<PlatformResult<std::vector<TableRow>>> result;
+        std::optional<StoreResult<std::vector<TableRow>>> result;
         m_ports.rows->list("nodes", into(result));
         return wait(result);
     }
-    PlatformResult<ConfigurationSnapshot> follow(uint64_t position)
+    StoreResult<ConfigurationSnapshot> follow(uint64_t position)
     {
-        std::optional<PlatformResult<ConfigurationSnapshot>> result;
+        std::optional<StoreResult<ConfigurationSnapshot>> result;
         m_ports.configuration->follow(position, 1s, into(result));
         return wait(result);
     }
-    PlatformResult<ConfigurationSnapshot> read()
+    StoreResult<ConfigurationSnapshot> read()
     {
-        std::optional<PlatformResult<ConfigurationSnapshot>> result;
+        std::optional<StoreResult<ConfigurationSnapshot>> result;
         m_ports.configuration->read(into(result));
         return wait(result);
     }
@@ -55,7 +55,7 @@
 
 TEST_F(StoreTest, RowsComeBackAsTheyWereWritten)
 {
-    std::optional<PlatformResult<Done>> written;
+    std::optional<StoreResult<Done>> written;
     m_ports.rows->put("nodes", "sidecar-\"a\" 1", "text with \n and \x01", into(written));
     EXPECT_TRUE(wait(written).has_value());
     auto rows = list();
@@ -79,7 +79,7 @@
     m_store.write("op", "config", "one");
     auto first = read();
     EXPECT_EQ(first.value().document, "one");
-    std::optional<PlatformResult<ConfigurationSnapshot>> result;
+    std::optional<StoreResult<ConfigurationSnapshot>> result;
     m_ports.configuration->follow(first.value().position, 5s, into(result));
     runFor(50ms);
     EXPECT_FALSE(result);
@@ -92,18 +92,18 @@
 TEST_F(StoreTest, EachRefusalHasItsOwnError)
 {
     m_store.forgetHistory();
-    EXPECT_EQ(follow(0).error().code, PlatformErrorCode::HistoryLost);
+    EXPECT_EQ(follow(0).error().code, StoreErrorCode::HistoryLost);
     m_store.status = 429;
-    EXPECT_EQ(read().error().code, PlatformErrorCode::Throttled);
+    EXPECT_EQ(read().error().code, StoreErrorCode::Throttled);
     m_store.status = 503;
-    EXPECT_EQ(read().error().code, PlatformErrorCode::Unavailable);
+    EXPECT_EQ(read().error().code, StoreErrorCode::Unavailable);
     m_store.status = 200;
-    EXPECT_EQ(read().error().code, PlatformErrorCode::Malformed);
+    EXPECT_EQ(read().error().code, StoreErrorCode::Malformed);
 }
 
 // A silent store must not hold the node for ever.
 TEST_F(StoreTest, SilenceEndsWithATimeout)
 {
     m_store.isSilent = true;
-    EXPECT_EQ(read().error().code, PlatformErrorCode::Timeout);
+    EXPECT_EQ(read().error().code, StoreErrorCode::Timeout);
 }
--- a/tests/Platform/FakeObjects.h
+++ b/tests/Store/FakeObjects.h
@@ -1,8 +1,8 @@
 // ObjectClient in virtual time.
 #pragma once
 
-#include "Platform/FakeStore.h"
 #include "StandIns/Objects/ObjectState.h"
+#include "Store/FakeStore.h"
 
 namespace Berylport::Testing {
 
--- a/tests/Platform/FakeStore.h
+++ b/tests/Store/FakeStore.h
@@ -2,9 +2,9 @@
 // the stand-ins' state classes.
 #pragma once
 
-#include "Platform/Platform.h"
-#include "Platform/VirtualTime.h"
 #include "StandIns/Common/FaultInjector.h"
+#include "Store/Store.h"
+#include "Store/VirtualTime.h"
 
 #include <functional>
 #include <memory>
@@ -39,13 +39,13 @@
 
     // `apply` runs in the store; the completion runs in the process of the client.
     template <typename T>
-    void request(const std::shared_ptr<FakeProcess>& process, bool isWrite, std::function<PlatformResult<T>()> apply,
+    void request(const std::shared_ptr<FakeProcess>& process, bool isWrite, std::function<StoreResult<T>()> apply,
         Completion<T> completion)
     {
         auto call = std::make_shared<Call<T>>();
         call->process = process;
         call->completion = std::move(completion);
-        auto unanswered = PlatformError { .code = PlatformErrorCode::Timeout };
+        auto unanswered = StoreError { .code = StoreErrorCode::Timeout };
         m_time.after(network.clientTimeout, [=] { call->complete(unanswered); });
         if (m_random.chance(network.lostRate))
             return;
@@ -60,7 +60,7 @@
         std::shared_ptr<FakeProcess> process;
         Completion<T> completion;
 
-        void complete(PlatformResult<T> result)
+        void complete(StoreResult<T> result)
         {
             if (!completion)
                 return;
@@ -70,21 +70,21 @@
     };
 
     template <typename T>
-    void arrive(const std::shared_ptr<Call<T>>& call, bool isWrite, const std::function<PlatformResult<T>()>& apply)
+    void arrive(const std::shared_ptr<Call<T>>& call, bool isWrite, const std::function<StoreResult<T>()>& apply)
     {
         auto decision = faults.decide(m_time.now(), isWrite, counters);
         if (decision.isRefused) {
             bool isRefusedConnection = faults.settings().down == DownMode::Refuse;
-            auto code = isRefusedConnection ? PlatformErrorCode::Unavailable : PlatformErrorCode::Timeout;
-            answer(call, decision, PlatformError { .code = code });
+            auto code = isRefusedConnection ? StoreErrorCode::Unavailable : StoreErrorCode::Timeout;
+            answer(call, decision, StoreError { .code = code });
         } else if (decision.throttledFor) {
-            answer(call, decision,
-                PlatformError { .code = PlatformErrorCode::Throttled, .retryAfter = *decision.throttledFor });
+            answer(
+                call, decision, StoreError { .code = StoreErrorCode::Throttled, .retryAfter = *decision.throttledFor });
         } else {
             m_time.after(decision.applyDelay, [=, this] {
                 auto result = apply();
                 if (decision.dropsAnswer)
-                    answer(call, decision, PlatformError { .code = PlatformErrorCode::Timeout });
+                    answer(call, decision, StoreError { .code = StoreErrorCode::Timeout });
                 else
                     answer(call, decision, std::move(result));
             });
@@ -93,7 +93,7 @@
 
     template <typename T>
     void answer(const std::shared_ptr<Call<T>>& call, const FaultDecision& decision,
-        std::type_identity_t<PlatformResult<T>> result)
+        std::type_identity_t<StoreResult<T>> result)
     {
         m_time.after(
             decision.answerDelay + randomDelay(), [call, result = std::move(result)] { call->complete(result); });
--- a/tests/Platform/FakeTable.h
+++ b/tests/Store/FakeTable.h
@@ -1,8 +1,8 @@
 // TableClient in virtual time.
 #pragma once
 
-#include "Platform/FakeStore.h"
 #include "StandIns/Table/TableState.h"
+#include "Store/FakeStore.h"
 
 namespace Berylport::Testing {
 
--- a/tests/Platform/LeaseTest.cpp
+++ b/tests/Store/LeaseTest.cpp
@@ -1,5 +1,5 @@
 // Guards against two holders of one lease at the same time, and against a lease that nobody gets.
-#include "Platform/FakeTable.h"
+#include "Store/FakeTable.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -130,7 +130,7 @@
     Instant now {};
     keeper.acquire(now);
     keeper.tick(now, actions);
-    keeper.readFinished(now, PlatformError { .code = PlatformErrorCode::NotFound });
+    keeper.readFinished(now, StoreError { .code = StoreErrorCode::NotFound });
     actions.clear();
     keeper.tick(now, actions);
     ASSERT_EQ(actions.size(), 1u);
--- a/tests/Platform/StandInTest.cpp
+++ b/tests/Store/StandInTest.cpp
@@ -1,9 +1,9 @@
 // Guards against HTTP clients that misreport what became of a request under each fault of the stand-ins. Runs client
 // and stand-in over real loopback sockets on one event loop.
-#include "Platform/Platform.h"
 #include "StandIns/Common/StoreServer.h"
 #include "StandIns/Objects/ObjectService.h"
 #include "StandIns/Table/TableService.h"
+#include "Store/Store.h"
 
 #include <event2/buffer.h>
 #include <event2/event.h>
@@ -28,11 +28,11 @@
     }
 
     // Runs the loop until the operation completes.
-    template <typename T, typename Start> PlatformResult<T> wait(Start start)
+    template <typename T, typename Start> StoreResult<T> wait(Start start)
     {
-        std::optional<PlatformResult<T>> result;
+        std::optional<StoreResult<T>> result;
         bool isInside = true;
-        start([&](Instant, PlatformResult<T> it) {
+        start([&](Instant, StoreResult<T> it) {
             EXPECT_FALSE(isInside) << "completed from inside the call";
             result = std::move(it);
         });
@@ -41,7 +41,7 @@
         while (!result && steadyNow() < limit)
             event_base_loop(base.get(), EVLOOP_ONCE);
         EXPECT_TRUE(result) << "not completed";
-        return result.value_or(PlatformError { .text = "not completed" });
+        return result.value_or(StoreError { .text = "not completed" });
     }
 
     void runFor(Duration duration)
@@ -61,14 +61,14 @@
 
 class TableStandIn : public StoreFixture<TableService> {
 protected:
-    PlatformResult<TransactionResult> put(TableClient& client, std::string token, std::string key, std::string value)
+    StoreResult<TransactionResult> put(TableClient& client, std::string token, std::string key, std::string value)
     {
         Transaction transaction {
             .token = std::move(token), .checks = {}, .puts = { { std::move(key), std::move(value) } }, .deletes = {}
         };
         return wait<TransactionResult>([&](auto done) { client.transact(transaction, done); });
     }
-    PlatformResult<TableRow> get(TableClient& client, std::string key)
+    StoreResult<TableRow> get(TableClient& client, std::string key)
     {
         return wait<TableRow>([&](auto done) { client.get(std::move(key), done); });
     }
@@ -76,11 +76,11 @@
 
 class ObjectsStandIn : public StoreFixture<ObjectService> {
 protected:
-    PlatformResult<Done> put(ObjectClient& client, std::string name, std::string bytes)
+    StoreResult<Done> put(ObjectClient& client, std::string name, std::string bytes)
     {
         return wait<Done>([&](auto done) { client.put(std::move(name), std::move(bytes), done); });
     }
-    PlatformResult<std::string> get(ObjectClient& client, std::string name)
+    StoreResult<std::string> get(ObjectClient& client, std::string name)
     {
         return wait<std::string>([&](auto done) { client.get(std::move(name), done); });
     }
@@ -101,8 +101,8 @@
     HttpTableClient client(base.get(), clientOptions());
     EXPECT_EQ(put(client, "1", "k\"ey/\\", allBytes()).value().versions, std::vector<uint64_t> { 1 });
     EXPECT_EQ(get(client, "k\"ey/\\").value(), (TableRow { .key = "k\"ey/\\", .value = allBytes(), .version = 1 }));
-    EXPECT_EQ(get(client, "other").error().code, PlatformErrorCode::NotFound);
-    EXPECT_EQ(get(client, "").error().code, PlatformErrorCode::NotFound);
+    EXPECT_EQ(get(client, "other").error().code, StoreErrorCode::NotFound);
+    EXPECT_EQ(get(client, "").error().code, StoreErrorCode::NotFound);
 }
 
 TEST_F(TableStandIn, TransactionsAndScansWorkOverTheNetwork)
@@ -119,27 +119,27 @@
         .token = "3", .checks = { { "p/1", RowVersionEquals { 4 } } }, .puts = {}, .deletes = { "p/1" }
     };
     auto conflict = wait<TransactionResult>([&](auto done) { client.transact(transaction, done); });
-    EXPECT_EQ(conflict.error().code, PlatformErrorCode::Conflict);
+    EXPECT_EQ(conflict.error().code, StoreErrorCode::Conflict);
     EXPECT_EQ(conflict.error().versionFound, 1u);
     EXPECT_EQ(conflict.error().key, "p/1");
     transaction.token = "4";
     transaction.checks = { { "p/1", RowVersionEquals { 1 } }, { "p/3", RowAbsent {} }, { "p/2", AnyVersion {} } };
     EXPECT_TRUE(wait<TransactionResult>([&](auto done) { client.transact(transaction, done); }));
-    EXPECT_EQ(get(client, "p/1").error().code, PlatformErrorCode::NotFound);
+    EXPECT_EQ(get(client, "p/1").error().code, StoreErrorCode::NotFound);
     EXPECT_EQ(
-        wait<ScanPage>([&](auto done) { client.scan("p/", 0, "", done); }).error().code, PlatformErrorCode::Malformed);
+        wait<ScanPage>([&](auto done) { client.scan("p/", 0, "", done); }).error().code, StoreErrorCode::Malformed);
 }
 
 TEST_F(TableStandIn, DroppedConfirmationIsReportedAsTimeoutAndResolvedByItsToken)
 {
     HttpTableClient client(base.get(), clientOptions());
     server->setFaults({ .dropNext = 2 });
-    EXPECT_EQ(put(client, "1", "a", "x").error().code, PlatformErrorCode::Timeout);
+    EXPECT_EQ(put(client, "1", "a", "x").error().code, StoreErrorCode::Timeout);
     EXPECT_EQ(service.counters.rowsWritten, 1u);
 
     WriteResolver resolver(client);
     Transaction transaction { .token = "1", .checks = {}, .puts = { { "a", "x" } }, .deletes = {} };
-    std::optional<PlatformResult<TransactionResult>> result;
+    std::optional<StoreResult<TransactionResult>> result;
     resolver.transact(steadyNow(), transaction, steadyNow() + 10s, [&](Instant, auto it) { result = it; });
     while (!result) {
         runFor(10ms);
@@ -154,7 +154,7 @@
 {
     HttpTableClient client(base.get(), clientOptions());
     server->setFaults({ .down = DownMode::Close });
-    EXPECT_EQ(put(client, "1", "a", "x").error().code, PlatformErrorCode::Timeout);
+    EXPECT_EQ(put(client, "1", "a", "x").error().code, StoreErrorCode::Timeout);
     EXPECT_EQ(service.counters.rowsWritten, 0u);
     server->setFaults({});
     EXPECT_TRUE(put(client, "1", "a", "x"));
@@ -165,7 +165,7 @@
     HttpTableClient client(base.get(), clientOptions());
     auto port = server->port();
     server->setFaults({ .down = DownMode::Refuse });
-    EXPECT_EQ(put(client, "1", "a", "x").error().code, PlatformErrorCode::Unavailable);
+    EXPECT_EQ(put(client, "1", "a", "x").error().code, StoreErrorCode::Unavailable);
     server->setFaults({});
     EXPECT_EQ(server->port(), port);
     EXPECT_TRUE(put(client, "1", "a", "x"));
@@ -177,8 +177,8 @@
     ASSERT_TRUE(put(client, "1", "a", "x"));
     server->setFaults({ .down = DownMode::Refuse });
     // The kept connection is closed without an answer, then new ones are refused.
-    EXPECT_EQ(put(client, "2", "a", "y").error().code, PlatformErrorCode::Timeout);
-    EXPECT_EQ(put(client, "3", "a", "y").error().code, PlatformErrorCode::Unavailable);
+    EXPECT_EQ(put(client, "2", "a", "y").error().code, StoreErrorCode::Timeout);
+    EXPECT_EQ(put(client, "3", "a", "y").error().code, StoreErrorCode::Unavailable);
     EXPECT_EQ(service.counters.rowsWritten, 1u);
 }
 
@@ -188,7 +188,7 @@
     ASSERT_TRUE(put(client, "1", "a", "x"));
     ASSERT_TRUE(put(client, "2", "b", "y"));
     server->setFaults({ .slow = 200ms });
-    EXPECT_EQ(get(client, "a").error().code, PlatformErrorCode::Timeout);
+    EXPECT_EQ(get(client, "a").error().code, StoreErrorCode::Timeout);
     server->setFaults({});
     for (int n = 0; n < 30; ++n) {
         EXPECT_EQ(get(client, "b").value().value, "y");
@@ -200,7 +200,7 @@
 {
     HttpTableClient client(base.get(), clientOptions(100ms));
     server->setFaults({ .lateRate = 1, .late = 200ms, .isAppliedLate = true });
-    EXPECT_EQ(put(client, "1", "a", "x").error().code, PlatformErrorCode::Timeout);
+    EXPECT_EQ(put(client, "1", "a", "x").error().code, StoreErrorCode::Timeout);
     EXPECT_EQ(service.counters.rowsWritten, 0u);
     server->setFaults({});
     runFor(300ms);
@@ -215,11 +215,11 @@
     EXPECT_TRUE(put(client, "1", "a", "x"));
     EXPECT_TRUE(put(client, "2", "a", "x"));
     auto error = put(client, "3", "a", "x").error();
-    EXPECT_EQ(error.code, PlatformErrorCode::Throttled);
+    EXPECT_EQ(error.code, StoreErrorCode::Throttled);
     EXPECT_GT(error.retryAfter, 0ms);
     EXPECT_LE(error.retryAfter, 500ms);
     EXPECT_TRUE(get(client, "a"));
-    EXPECT_EQ(get(client, "a").error().code, PlatformErrorCode::Throttled);
+    EXPECT_EQ(get(client, "a").error().code, StoreErrorCode::Throttled);
     EXPECT_EQ(service.counters.throttled, 2u);
 }
 
@@ -235,9 +235,9 @@
     EXPECT_LE(service.counters.refused, 6u);
     server->setFaults({});
     auto limit = steadyNow() + 5s;
-    while (get(client, "a").error().code != PlatformErrorCode::NotFound && steadyNow() < limit)
+    while (get(client, "a").error().code != StoreErrorCode::NotFound && steadyNow() < limit)
         runFor(10ms);
-    EXPECT_EQ(get(client, "a").error().code, PlatformErrorCode::NotFound);
+    EXPECT_EQ(get(client, "a").error().code, StoreErrorCode::NotFound);
 }
 
 TEST_F(TableStandIn, OutstandingAndQueuedRequestsAreBounded)
@@ -250,9 +250,9 @@
     int found = 0;
     int unavailable = 0;
     for (int n = 0; n < 10; ++n) {
-        client.get("a", [&](Instant, PlatformResult<TableRow> result) {
-            found += result.error().code == PlatformErrorCode::NotFound;
-            unavailable += result.error().code == PlatformErrorCode::Unavailable;
+        client.get("a", [&](Instant, StoreResult<TableRow> result) {
+            found += result.error().code == StoreErrorCode::NotFound;
+            unavailable += result.error().code == StoreErrorCode::Unavailable;
         });
     }
     runFor(300ms);
@@ -266,7 +266,7 @@
     bool isCompleted = false;
     {
         HttpTableClient client(base.get(), clientOptions());
-        client.get("a", [&](Instant, PlatformResult<TableRow>) { isCompleted = true; });
+        client.get("a", [&](Instant, StoreResult<TableRow>) { isCompleted = true; });
         runFor(5ms);
     }
     runFor(50ms);
@@ -278,7 +278,7 @@
     auto client = std::make_unique<HttpTableClient>(base.get(), clientOptions());
     int completed = 0;
     for (int n = 0; n < 3; ++n) {
-        client->get("a", [&](Instant, PlatformResult<TableRow>) {
+        client->get("a", [&](Instant, StoreResult<TableRow>) {
             ++completed;
             client.reset();
         });
@@ -341,14 +341,14 @@
 TEST_F(ObjectsStandIn, ObjectsAreImmutable)
 {
     HttpObjectClient client(base.get(), clientOptions());
-    EXPECT_EQ(get(client, "o").error().code, PlatformErrorCode::NotFound);
+    EXPECT_EQ(get(client, "o").error().code, StoreErrorCode::NotFound);
     EXPECT_TRUE(put(client, "o", allBytes()));
     EXPECT_TRUE(put(client, "o", allBytes()));
-    EXPECT_EQ(put(client, "o", "other").error().code, PlatformErrorCode::Conflict);
+    EXPECT_EQ(put(client, "o", "other").error().code, StoreErrorCode::Conflict);
     EXPECT_EQ(get(client, "o").value(), allBytes());
     EXPECT_TRUE(wait<Done>([&](auto done) { client.remove("o", done); }));
-    EXPECT_EQ(wait<Done>([&](auto done) { client.remove("o", done); }).error().code, PlatformErrorCode::NotFound);
-    EXPECT_EQ(put(client, "", "x").error().code, PlatformErrorCode::Malformed);
+    EXPECT_EQ(wait<Done>([&](auto done) { client.remove("o", done); }).error().code, StoreErrorCode::NotFound);
+    EXPECT_EQ(put(client, "", "x").error().code, StoreErrorCode::Malformed);
 }
 
 TEST_F(ObjectsStandIn, LargestObjectPasses)
@@ -357,24 +357,24 @@
     std::string bytes(maxObjectBytes, 'x');
     EXPECT_TRUE(put(client, "o", bytes));
     EXPECT_EQ(get(client, "o").value().size(), bytes.size());
-    EXPECT_EQ(put(client, "p", bytes + "x").error().code, PlatformErrorCode::Malformed);
+    EXPECT_EQ(put(client, "p", bytes + "x").error().code, StoreErrorCode::Malformed);
 }
 
 TEST_F(ObjectsStandIn, EachFaultIsReported)
 {
     HttpObjectClient client(base.get(), clientOptions(100ms));
     server->setFaults({ .dropNext = 1 });
-    EXPECT_EQ(put(client, "o", "x").error().code, PlatformErrorCode::Timeout);
+    EXPECT_EQ(put(client, "o", "x").error().code, StoreErrorCode::Timeout);
     EXPECT_EQ(get(client, "o").value(), "x");
     server->setFaults({ .slow = 200ms });
-    EXPECT_EQ(get(client, "o").error().code, PlatformErrorCode::Timeout);
+    EXPECT_EQ(get(client, "o").error().code, StoreErrorCode::Timeout);
     server->setFaults({ .down = DownMode::Close });
-    EXPECT_EQ(put(client, "p", "x").error().code, PlatformErrorCode::Timeout);
+    EXPECT_EQ(put(client, "p", "x").error().code, StoreErrorCode::Timeout);
     server->setFaults({ .down = DownMode::Refuse });
-    EXPECT_EQ(put(client, "p", "x").error().code, PlatformErrorCode::Unavailable);
+    EXPECT_EQ(put(client, "p", "x").error().code, StoreErrorCode::Unavailable);
     server->setFaults({ .lateRate = 1, .late = 200ms });
-    EXPECT_EQ(put(client, "q", "x").error().code, PlatformErrorCode::Timeout);
+    EXPECT_EQ(put(client, "q", "x").error().code, StoreErrorCode::Timeout);
     server->setFaults({ .writesPerSecond = 1 });
     EXPECT_TRUE(put(client, "r", "x"));
-    EXPECT_EQ(put(client, "s", "x").error().code, PlatformErrorCode::Throttled);
+    EXPECT_EQ(put(client, "s", "x").error().code, StoreErrorCode::Throttled);
 }
--- a/tests/Platform/TableStateTest.cpp
+++ b/tests/Store/TableStateTest.cpp
@@ -25,7 +25,7 @@
 {
     TableState table;
     StoreCounters counters;
-    EXPECT_EQ(table.get("a").error().code, PlatformErrorCode::NotFound);
+    EXPECT_EQ(table.get("a").error().code, StoreErrorCode::NotFound);
     EXPECT_EQ(table.transact(start, put("1", "a", "x"), counters).value().versions, std::vector<uint64_t> { 1 });
     EXPECT_EQ(table.transact(start, put("2", "a", "y"), counters).value().versions, std::vector<uint64_t> { 2 });
     EXPECT_EQ(table.get("a").value(), (TableRow { .key = "a", .value = "y", .version = 2 }));
@@ -42,10 +42,10 @@
         .deletes = { "a" } };
     auto result = table.transact(start, second, counters);
     ASSERT_FALSE(result);
-    EXPECT_EQ(result.error().code, PlatformErrorCode::Conflict);
+    EXPECT_EQ(result.error().code, StoreErrorCode::Conflict);
     EXPECT_EQ(result.error().key, "a");
     EXPECT_EQ(result.error().versionFound, 1u);
-    EXPECT_EQ(table.get("b").error().code, PlatformErrorCode::NotFound);
+    EXPECT_EQ(table.get("b").error().code, StoreErrorCode::NotFound);
     EXPECT_TRUE(table.get("a"));
 }
 
@@ -54,7 +54,7 @@
     TableState table;
     StoreCounters counters;
     Transaction transaction { .token = "1", .checks = { { "a", RowVersionEquals { 0 } } }, .puts = {}, .deletes = {} };
-    EXPECT_EQ(table.transact(start, transaction, counters).error().code, PlatformErrorCode::Conflict);
+    EXPECT_EQ(table.transact(start, transaction, counters).error().code, StoreErrorCode::Conflict);
 }
 
 TEST(TableState, RepeatedTokenGetsTheFirstResultForTenMinutes)
@@ -79,7 +79,7 @@
     EXPECT_FALSE(table.transact(start, create, counters));
     Transaction erase { .token = "3", .checks = {}, .puts = {}, .deletes = { "a" } };
     ASSERT_TRUE(table.transact(start, erase, counters));
-    EXPECT_EQ(table.transact(start, create, counters).error().code, PlatformErrorCode::Conflict);
+    EXPECT_EQ(table.transact(start, create, counters).error().code, StoreErrorCode::Conflict);
     EXPECT_FALSE(table.get("a"));
 }
 
@@ -88,7 +88,7 @@
     TableState table;
     StoreCounters counters;
     ASSERT_TRUE(table.transact(start, put("1", "a", "x"), counters));
-    EXPECT_EQ(table.transact(start, put("1", "a", "y"), counters).error().code, PlatformErrorCode::Malformed);
+    EXPECT_EQ(table.transact(start, put("1", "a", "y"), counters).error().code, StoreErrorCode::Malformed);
     EXPECT_EQ(table.get("a").value().value, "x");
 }
 
@@ -109,12 +109,12 @@
     Transaction large { .token = "1", .checks = {}, .puts = {}, .deletes = {} };
     for (size_t n = 0; n <= maxTransactionRows; ++n)
         large.puts.push_back({ std::to_string(n), "" });
-    EXPECT_EQ(table.transact(start, large, counters).error().code, PlatformErrorCode::Malformed);
+    EXPECT_EQ(table.transact(start, large, counters).error().code, StoreErrorCode::Malformed);
     auto twice = put("2", "a", "x");
     twice.deletes.push_back("a");
-    EXPECT_EQ(table.transact(start, twice, counters).error().code, PlatformErrorCode::Malformed);
-    EXPECT_EQ(table.transact(start, put("", "a", "x"), counters).error().code, PlatformErrorCode::Malformed);
-    EXPECT_EQ(table.scan("", 0, "").error().code, PlatformErrorCode::Malformed);
+    EXPECT_EQ(table.transact(start, twice, counters).error().code, StoreErrorCode::Malformed);
+    EXPECT_EQ(table.transact(start, put("", "a", "x"), counters).error().code, StoreErrorCode::Malformed);
+    EXPECT_EQ(table.scan("", 0, "").error().code, StoreErrorCode::Malformed);
 }
 
 RC_GTEST_PROP(TableState, ScanPagesReturnEveryRowOfThePrefixOnce, (std::set<uint8_t> names, uint8_t limitSeed))
@@ -146,14 +146,14 @@
 // Naive model: the whole map is copied, and a history of all transactions replaces the token table.
 class NaiveTable {
 public:
-    PlatformResult<TransactionResult> transact(const Transaction& transaction)
+    StoreResult<TransactionResult> transact(const Transaction& transaction)
     {
         for (auto& [past, result] : m_history) {
             if (past.token != transaction.token)
                 continue;
             if (past == transaction)
                 return result;
-            return PlatformError { .code = PlatformErrorCode::Malformed };
+            return StoreError { .code = StoreErrorCode::Malformed };
         }
         auto result = evaluate(transaction);
         m_history.emplace_back(transaction, result);
@@ -162,14 +162,14 @@
     std::map<std::string, std::pair<std::string, uint64_t>> rows;
 
 private:
-    PlatformResult<TransactionResult> evaluate(const Transaction& transaction)
+    StoreResult<TransactionResult> evaluate(const Transaction& transaction)
     {
         for (auto& check : transaction.checks) {
             uint64_t version = rows.count(check.key) ? rows.at(check.key).second : 0;
             bool isAbsentFailure = std::holds_alternative<RowAbsent>(check.requirement) && version;
             auto* equals = std::get_if<RowVersionEquals>(&check.requirement);
             if (isAbsentFailure || (equals && (equals->version != version || !version)))
-                return PlatformError { .code = PlatformErrorCode::Conflict, .key = check.key, .versionFound = version };
+                return StoreError { .code = StoreErrorCode::Conflict, .key = check.key, .versionFound = version };
         }
         auto copy = rows;
         TransactionResult result;
@@ -184,7 +184,7 @@
         return result;
     }
 
-    std::vector<std::pair<Transaction, PlatformResult<TransactionResult>>> m_history;
+    std::vector<std::pair<Transaction, StoreResult<TransactionResult>>> m_history;
 };
 
 rc::Gen<Transaction> randomTransaction()
--- a/tests/Platform/WriteResolverTest.cpp
+++ b/tests/Store/WriteResolverTest.cpp
@@ -1,5 +1,5 @@
 // Guards against a write that is applied twice, reported wrongly, or repeated beyond the life of its request token.
-#include "Platform/FakeTable.h"
+#include "Store/FakeTable.h"
 
 #include <gtest/gtest.h>
 
@@ -30,7 +30,7 @@
     std::shared_ptr<FakeProcess> process = std::make_shared<FakeProcess>(time);
     std::unique_ptr<TableClient> client = table.connect(process);
     WriteResolver resolver { *client };
-    std::optional<PlatformResult<TransactionResult>> result;
+    std::optional<StoreResult<TransactionResult>> result;
 };
 
 } // namespace
@@ -66,7 +66,7 @@
     start(1min);
     run(1s);
     ASSERT_TRUE(result);
-    EXPECT_EQ(result->error().code, PlatformErrorCode::Unavailable);
+    EXPECT_EQ(result->error().code, StoreErrorCode::Unavailable);
 }
 
 TEST_F(Resolving, UnresolvedWriteFailsAtItsDeadline)
@@ -77,7 +77,7 @@
     EXPECT_FALSE(result);
     run(200ms);
     ASSERT_TRUE(result);
-    EXPECT_EQ(result->error().code, PlatformErrorCode::Timeout);
+    EXPECT_EQ(result->error().code, StoreErrorCode::Timeout);
     EXPECT_EQ(resolver.pending(), 0u);
 }
 
@@ -87,7 +87,7 @@
     start(24h);
     run(WriteResolver::longestDeadline + 1s);
     ASSERT_TRUE(result);
-    EXPECT_EQ(result->error().code, PlatformErrorCode::Timeout);
+    EXPECT_EQ(result->error().code, StoreErrorCode::Timeout);
 }
 
 TEST(WriteBudget, AllowsTheRateAndTellsWhenTheNextWriteMayGo)
