Hand calls on from a full target while others have room

Change: a target without a free slot refuses what may be handed on while the sender's mean load of the service is below the slots and its own exceeds the mean by a quarter (busy-now). The request carries that mean. Test: ObjectiveTest.AFullTargetHandsOnWhatOthersHaveRoomFor (written with the change, not seen to fail first).

--- a/Source/Admission/AdmissionController.cpp
+++ b/Source/Admission/AdmissionController.cpp
@@ -229,6 +229,8 @@
         return RefusalReason::LedgerFull;
     if (request.mayHandOn && isSlowNow())
         return RefusalReason::SlowNow;
+    if (request.mayHandOn && isBusyNow(request))
+        return RefusalReason::BusyNow;
     if (isTooLate(now, request))
         return RefusalReason::DeadlineTooNear;
     return std::nullopt;
@@ -250,8 +252,16 @@
     return m_meter.slowness() >= m_options.slowFactor * m_meter.meanSlowness();
 }
 
-// A call that starts just before its deadline is answered too late, so the answer is counted in. With a free slot the
-// estimate is not used: an average that is too high would otherwise refuse all calls and never be corrected.
+bool AdmissionController::isBusyNow(const CallRequest& request) const
+{
+    auto load = static_cast<double>(m_running + waiting());
+    double slots = limit();
+    return m_running >= slots && request.meanLoad < slots && load > m_options.busyFactor * request.meanLoad;
+}
+
+// A call that starts just before its deadline is answered too late, so the answer is counted in: by the time of its own
+// route, as a target's short calls would else be judged by its long ones. With a free slot the estimate is not used: one
+// that is too high would otherwise refuse all calls and never be corrected.
 bool AdmissionController::isTooLate(Instant now, const CallRequest& request) const
 {
     if (canStart() || !m_serviceTime.isKnown())
--- a/Source/Admission/AdmissionController.h
+++ b/Source/Admission/AdmissionController.h
@@ -33,6 +33,10 @@
     double latePatience { 0.125 };
     // A VM that is slower than its own long-term mean by this factor hands calls on that may be handed on.
     double slowFactor { 1.5 };
+    // A target without a free slot hands calls on that may be handed on while targets of the service have free slots
+    // on average and its load exceeds that average by this factor. Where all are full none does, so an overload costs
+    // no further messages.
+    double busyFactor { 1.25 };
 };
 
 // Load as the target itself reports it.
@@ -125,6 +129,7 @@
     std::optional<RefusalReason> findRefusal(Instant now, const CallRequest&) const;
     std::optional<RefusalReason> findStateRefusal() const;
     bool isSlowNow() const;
+    bool isBusyNow(const CallRequest&) const;
     bool isTooLate(Instant now, const CallRequest&) const;
     // Whether the call may wait; adds it to the late ones where it cannot be in time.
     bool isInTime(Instant now, const CallRequest&) const;
--- a/Source/Base/CallMessages.cpp
+++ b/Source/Base/CallMessages.cpp
@@ -3,6 +3,11 @@
 
 namespace Berylport {
 
+bool asksForAnotherTarget(RefusalReason reason)
+{
+    return reason == RefusalReason::SlowNow || reason == RefusalReason::BusyNow;
+}
+
 std::string_view toText(RefusalReason reason)
 {
     switch (reason) {
@@ -38,6 +43,8 @@
         return "overloaded";
     case RefusalReason::SlowNow:
         return "slow-now";
+    case RefusalReason::BusyNow:
+        return "busy-now";
     }
     return "unknown";
 }
--- a/Source/Base/CallMessages.h
+++ b/Source/Base/CallMessages.h
@@ -71,8 +71,11 @@
     std::string requestId {};
     // Calls of one route cost a target about the same. Empty for services without routes.
     std::string route {};
-    // The receiver may refuse it because its VM is slow just now; the sender then asks another node.
+    // The receiver may refuse it because its VM is slow or its target is full just now; the sender then asks another
+    // node.
     bool mayHandOn { false };
+    // Calls that run and wait at a target of the service on average, as the sender knows it.
+    double meanLoad { 0 };
 };
 
 struct CallCancel {
@@ -109,9 +112,13 @@
     Overloaded,
     // The VM of the target is much slower than usual at this moment; another target would be faster.
     SlowNow,
+    // All slots of the target are taken at this moment, while targets of the service have room on average.
+    BusyNow,
 };
 
 std::string_view toText(RefusalReason);
+// The receiver could have taken the call and holds that another target serves it better.
+bool asksForAnotherTarget(RefusalReason);
 
 // The target ran the request; this is its whole answer.
 struct CallAnswered {
--- a/Source/Calls/CallCoordinator.cpp
+++ b/Source/Calls/CallCoordinator.cpp
@@ -231,7 +231,7 @@
     attempt->state = AttemptPhase::NotRun;
     call->returnTokens(*attempt, 0);
     call->noteRefusal(refused.reason, refused.retryAfter);
-    if (refused.reason == RefusalReason::SlowNow)
+    if (asksForAnotherTarget(refused.reason))
         call->noteHandOn();
     moveOnAfterNotRun(*call, now, actions);
 }
@@ -314,7 +314,7 @@
         return false;
     if (!hasTimeForAttempt(call, now))
         return false;
-    bool isHandOn = call.lastRefusal() == RefusalReason::SlowNow;
+    bool isHandOn = asksForAnotherTarget(*call.lastRefusal());
     auto selection = selectUntried(call, now);
     if (!selection && isHandOn) {
         // All are slow, so one of them has to take it.
@@ -381,7 +381,9 @@
     auto& attempt = call.beginAttempt(selection, now);
     route(call).selector.noteSent(selection.target, now);
     ++m_counters.attempts;
-    actions.push_back(SendAttempt { selection.target, call.request(attempt) });
+    auto request = call.request(attempt);
+    request.meanLoad = route(call).selector.meanLoad();
+    actions.push_back(SendAttempt { selection.target, std::move(request) });
 }
 
 void CallCoordinator::scheduleHedge(PendingCall& call, Instant now)
--- a/Source/Peer/PeerCodec.cpp
+++ b/Source/Peer/PeerCodec.cpp
@@ -35,7 +35,7 @@
 
 static_assert(static_cast<int>(Schema::RequestKind::PATIENT) == static_cast<int>(RequestKind::Patient));
 static_assert(static_cast<int>(Schema::Priority::BULK) == static_cast<int>(Priority::Bulk));
-static_assert(static_cast<int>(Schema::RefusalReason::SLOW_NOW) == static_cast<int>(RefusalReason::SlowNow));
+static_assert(static_cast<int>(Schema::RefusalReason::BUSY_NOW) == static_cast<int>(RefusalReason::BusyNow));
 static_assert(static_cast<int>(Schema::RefusalReason::DRAINING) == static_cast<int>(RefusalReason::Draining));
 static_assert(static_cast<int>(Schema::LossReason::ANSWER_DROPPED) == static_cast<int>(LossReason::AnswerDropped));
 
@@ -183,7 +183,7 @@
 {
     CallRefused reply;
     reply.id = id;
-    reply.reason = readEnum(reader.getReason(), RefusalReason::SlowNow);
+    reply.reason = readEnum(reader.getReason(), RefusalReason::BusyNow);
     uint64_t retryAfter = reader.getRetryAfterMicroseconds();
     require(retryAfter <= static_cast<uint64_t>(maximumRetryAfter.count()), "retry-after out of range");
     reply.retryAfter = Duration(static_cast<int64_t>(retryAfter));
@@ -274,6 +274,7 @@
     builder.setRequestId(textOf(request.requestId));
     builder.setRoute(textOf(request.route));
     builder.setMayHandOn(request.mayHandOn);
+    builder.setMeanLoad(static_cast<float>(request.meanLoad));
     builder.setRetryTokens(request.retryTokens);
     builder.setDepth(request.depth);
     auto http = builder.initHttp();
@@ -353,8 +354,10 @@
         request.requestId = readText(reader.getRequestId(), maximumRequestId);
         request.route = readText(reader.getRoute(), maximumRouteName);
         request.mayHandOn = reader.getMayHandOn();
+        request.meanLoad = reader.getMeanLoad();
         request.retryTokens = reader.getRetryTokens();
         request.depth = reader.getDepth();
+        require(request.meanLoad >= 0 && request.meanLoad <= UINT16_MAX, "a mean load outside of its range");
         require(request.retryTokens <= maximumRetryTokens, "too many retry tokens");
         require(request.depth <= maximumDepth, "call too deep");
         request.http = readHttpRequest(reader.getHttp());
--- a/Source/Routing/TargetSelector.h
+++ b/Source/Routing/TargetSelector.h
@@ -50,6 +50,8 @@
     // Null when the target is not known.
     const TargetView* view(const TargetId&) const;
     Duration median() const { return m_latencies.median(); }
+    // Calls that run and wait at a target, smoothed over the reports of all targets.
+    double meanLoad() const { return m_meanLoad; }
 
 private:
     using Indices = std::vector<uint32_t>;
--- a/Source/Schema/Generated/Peer.capnp.h
+++ b/Source/Schema/Generated/Peer.capnp.h
@@ -52,6 +52,7 @@
   UNCONFIRMED,
   OVERLOADED,
   SLOW_NOW,
+  BUSY_NOW,
 };
 CAPNP_DECLARE_ENUM(RefusalReason, 8319083cb7784206);
 CAPNP_DECLARE_SCHEMA(96c77f54b897e4f8);
@@ -201,7 +202,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9e198d116e30ff07, 5, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(9e198d116e30ff07, 6, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1155,6 +1156,8 @@
 
   inline bool getMayHandOn() const;
 
+  inline float getMeanLoad() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1249,6 +1252,9 @@
   inline bool getMayHandOn();
   inline void setMayHandOn(bool value);
 
+  inline float getMeanLoad();
+  inline void setMeanLoad(float value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4273,6 +4279,20 @@
       ::capnp::bounded<224>() * ::capnp::ELEMENTS, value);
 }
 
+inline float CallRequest::Reader::getMeanLoad() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline float CallRequest::Builder::getMeanLoad() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void CallRequest::Builder::setMeanLoad(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CallQuery::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Source/Schema/Peer.capnp
+++ b/Source/Schema/Peer.capnp
@@ -39,6 +39,7 @@
   unconfirmed @13;
   overloaded @14;
   slowNow @15;
+  busyNow @16;
 }
 
 enum LossReason {
@@ -99,8 +100,10 @@
   requestId @11 :Text;
   # Calls of one route cost a target about the same. Empty for services without routes.
   route @12 :Text;
-  # The receiver may refuse it because its VM is slow just now; the sender then asks another node.
+  # The receiver may refuse it because its VM is slow or its target is full just now; the sender then asks another node.
   mayHandOn @13 :Bool;
+  # Calls that run and wait at a target of the service on average, as the sender knows it.
+  meanLoad @14 :Float32;
 }
 
 struct CallQuery {
--- a/tests/Admission/ObjectiveTest.cpp
+++ b/tests/Admission/ObjectiveTest.cpp
@@ -109,3 +109,24 @@
     m_bench.run([&] { m_bench.controller->offer(m_bench.now, firstLink, request, m_bench.actions); });
     EXPECT_EQ(startsIn(m_bench.actions), std::vector { attemptOf(2) });
 }
+
+// Guards against a queue in front of one target while others of the service have free slots.
+TEST_F(ObjectiveTest, AFullTargetHandsOnWhatOthersHaveRoomFor)
+{
+    auto offerWith = [&](uint64_t call, double meanLoad) {
+        auto request = makeRequest(attemptOf(call), m_bench.now + 2s, { .kind = RequestKind::Idempotent });
+        request.mayHandOn = true;
+        request.meanLoad = meanLoad;
+        m_bench.run([&] { m_bench.controller->offer(m_bench.now, firstLink, request, m_bench.actions); });
+    };
+    offerWith(2, 0.5);
+    EXPECT_EQ(refusalsIn(m_bench.actions), std::vector { RefusalReason::BusyNow });
+    // All are as full as this one: handing on would add messages and save nobody time.
+    offerWith(3, 1.0);
+    EXPECT_TRUE(refusalsIn(m_bench.actions).empty());
+    // With a free slot the mean does not matter.
+    m_bench.answer(attemptOf(1));
+    m_bench.answer(attemptOf(3));
+    offerWith(4, 0);
+    EXPECT_EQ(startsIn(m_bench.actions), std::vector { attemptOf(4) });
+}
--- a/tests/Peer/PeerCodecTest.cpp
+++ b/tests/Peer/PeerCodecTest.cpp
@@ -8,6 +8,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <limits>
+
 using namespace Berylport;
 using namespace std::chrono_literals;
 
@@ -49,6 +51,8 @@
         [](Builder it) { it.setDeadline(-1); },
         [](Builder it) { it.setDeadline(INT64_MAX); },
         [](Builder it) { it.setRetryTokens(9); },
+        [](Builder it) { it.setMeanLoad(-1); },
+        [](Builder it) { it.setMeanLoad(std::numeric_limits<float>::quiet_NaN()); },
         [](Builder it) { it.setDepth(33); },
         [](Builder it) { it.getId().setOrigin(0); },
         [](Builder it) { it.getHttp().setMethod(""); },
@@ -71,7 +75,7 @@
     EXPECT_TRUE(readChangedReply([](Builder) {}).has_value());
     std::vector<std::function<void(Builder)>> changes {
         [](Builder it) { it.setPending(); },
-        [](Builder it) { it.initRefused().setReason(static_cast<Schema::RefusalReason>(16)); },
+        [](Builder it) { it.initRefused().setReason(static_cast<Schema::RefusalReason>(17)); },
         [](Builder it) { it.initRefused().setRetryAfterMicroseconds(UINT64_MAX); },
         [](Builder it) { it.initLost().setReason(static_cast<Schema::LossReason>(8)); },
         [](Builder it) { it.getAnswered().getHttp().setStatus(99); },
--- a/tests/Peer/PeerLinkTest.cpp
+++ b/tests/Peer/PeerLinkTest.cpp
@@ -72,6 +72,8 @@
     EXPECT_EQ(arrived.kind, request.kind);
     EXPECT_EQ(arrived.priority, request.priority);
     EXPECT_EQ(arrived.retryTokens, request.retryTokens);
+    EXPECT_EQ(arrived.mayHandOn, request.mayHandOn);
+    EXPECT_EQ(arrived.meanLoad, request.meanLoad);
     EXPECT_EQ(arrived.depth, request.depth);
     EXPECT_EQ(arrived.http, request.http);
     // Both ends share a clock here, so the translated deadline may only be earlier.
--- a/tests/Peer/PeerTestSupport.h
+++ b/tests/Peer/PeerTestSupport.h
@@ -80,6 +80,8 @@
     request.priority = Priority::Critical;
     request.deadline = steadyNow() + std::chrono::seconds(30);
     request.retryTokens = 2;
+    request.mayHandOn = true;
+    request.meanLoad = 2.5;
     request.depth = 1;
     request.http = { .method = "POST", .target = "/a?b=c", .headers = { { "X-One", "1" } }, .body = std::move(body) };
     return request;
