Judge a call's deadline by the time of its own route, and keep that time known

Change: deadlines are judged by the route's mean plus its mean deviation, at the limit's slowdown and the VM's speed; samples above full speed move the mean slowly and are capped by what is usual at their level. Tests seen to fail first: AdmissionEstimate.AShortCallIsNotJudgedByTheTimeOfLongOnes, ConcurrencyLimit.ALongOverloadLeavesTheTimesOfCallsKnown (15 of 5000 us).

--- a/Source/Admission/AdmissionController.cpp
+++ b/Source/Admission/AdmissionController.cpp
@@ -114,12 +114,23 @@
 }
 
 // At the speed that the VM is likely to have, with the target as busy as it is when calls wait.
-Duration AdmissionController::expectedTime(const CallRequest& request) const
+Duration AdmissionController::expectedTime(Instant now, const CallRequest& request) const
 {
-    Duration base = m_concurrency.baseTime(request.route);
-    if (base <= Duration::zero())
+    return timeAtLimit(now, m_concurrency.baseTime(request.route));
+}
+
+// Most calls of its route take no longer.
+Duration AdmissionController::likelyTime(Instant now, const CallRequest& request) const
+{
+    return timeAtLimit(now, m_concurrency.baseTime(request.route) + m_concurrency.deviation(request.route));
+}
+
+Duration AdmissionController::timeAtLimit(Instant now, Duration timeAtFullSpeed) const
+{
+    if (timeAtFullSpeed <= Duration::zero())
         return m_serviceTime.average();
-    return Duration(std::llround(static_cast<double>(base.count()) * m_meter.expectedSlowness()));
+    double factor = m_meter.expectedSlowness() * m_concurrency.slowdownAtLimit(now);
+    return Duration(std::llround(static_cast<double>(timeAtFullSpeed.count()) * factor));
 }
 
 Duration AdmissionController::waitBehind(size_t calls) const
@@ -134,7 +145,7 @@
     if (!hasObjective || !m_serviceTime.isKnown())
         return true;
     Duration wait = waitBehind(m_queue.countAhead(request.tenant, request.priority) + 1);
-    return now + wait + expectedTime(request) <= request.objective;
+    return now + wait + expectedTime(now, request) <= request.objective;
 }
 
 bool AdmissionController::mayWaitLate(Instant now, const CallRequest& request) const
@@ -142,7 +153,7 @@
     Duration wait = waitBehind(waiting() + 1);
     auto patience = Duration(
         std::llround(m_options.latePatience * static_cast<double>((request.deadline - request.objective).count())));
-    return wait <= patience && now + wait + expectedTime(request) <= request.deadline;
+    return wait <= patience && now + wait + expectedTime(now, request) <= request.deadline;
 }
 
 void AdmissionController::waitLate(Instant now, CallRequest request)
@@ -260,15 +271,15 @@
 }
 
 // A call that starts just before its deadline is answered too late, so the answer is counted in: by the time of its own
-// route, as a target's short calls would else be judged by its long ones. With a free slot the estimate is not used: one
-// that is too high would otherwise refuse all calls and never be corrected.
+// route, as a target's short calls would else be judged by its long ones. With a free slot the estimate is not used:
+// one that is too high would otherwise refuse all calls and never be corrected.
 bool AdmissionController::isTooLate(Instant now, const CallRequest& request) const
 {
     if (canStart() || !m_serviceTime.isKnown())
         return false;
     auto ahead = static_cast<int64_t>(m_queue.countAhead(request.tenant, request.priority));
     Duration wait = (ahead + 1) * m_serviceTime.average() / std::max<int64_t>(limit(), 1);
-    return now + wait + m_serviceTime.average() > request.deadline;
+    return now + wait + likelyTime(now, request) > request.deadline;
 }
 
 bool AdmissionController::canStart() const
@@ -342,7 +353,7 @@
         }
         // A slot goes to a call that can still be in time, if there is one.
         bool hasObjective = request->objective != Instant() && request->objective < request->deadline;
-        bool hasBecomeLate = hasObjective && now + expectedTime(*request) > request->objective;
+        bool hasBecomeLate = hasObjective && now + expectedTime(now, *request) > request->objective;
         if (hasBecomeLate && !m_queue.isEmpty())
             waitLate(now, std::move(*request));
         else
@@ -354,7 +365,7 @@
 void AdmissionController::startOrDrop(Instant now, CallRequest request, AdmissionActions& actions)
 {
     LedgerEntry& entry = *m_ledger.find(request.id);
-    bool isTooLateToUse = now + m_serviceTime.average() > request.deadline;
+    bool isTooLateToUse = now + likelyTime(now, request) > request.deadline;
     if (request.deadline <= now)
         refuse(now, entry, RefusalReason::DeadlinePassed, actions);
     else if (isTooLateToUse && waiting())
--- a/Source/Admission/AdmissionController.h
+++ b/Source/Admission/AdmissionController.h
@@ -139,7 +139,9 @@
     bool startLate(Instant now, AdmissionActions&);
     void dropLate(Instant now, AdmissionActions&);
     std::optional<CallRequest> takeLate(const AttemptId&);
-    Duration expectedTime(const CallRequest&) const;
+    Duration expectedTime(Instant now, const CallRequest&) const;
+    Duration likelyTime(Instant now, const CallRequest&) const;
+    Duration timeAtLimit(Instant now, Duration timeAtFullSpeed) const;
     Duration waitBehind(size_t calls) const;
     // Calls that may run at once.
     uint16_t limit() const;
--- a/Source/Admission/ConcurrencyLimit.cpp
+++ b/Source/Admission/ConcurrencyLimit.cpp
@@ -9,7 +9,7 @@
 
 // Routes come from the operators' configuration; one with more than this is not told apart further.
 constexpr size_t maximumRoutes = 512;
-// Extremes are waits for other services rather than work of this one.
+// Extremes are waits for other services rather than work of this one. Also the most that a level slows calls down.
 constexpr double maximumRatio = 4;
 
 } // namespace
@@ -29,11 +29,21 @@
     return it == m_routes.end() ? Duration {} : Duration(std::llround(it->second.baseTime));
 }
 
+Duration ConcurrencyLimit::deviation(const std::string& route) const
+{
+    auto it = m_routes.find(route);
+    return it == m_routes.end() ? Duration {} : Duration(std::llround(it->second.deviation));
+}
+
+bool ConcurrencyLimit::isFullSpeed(size_t level) const
+{
+    return static_cast<double>(level) <= std::max(1.0, m_options.fullSpeedShare * m_slots);
+}
+
 double ConcurrencyLimit::slowdownAt(size_t level, Instant now) const
 {
     const Level& it = m_levels[level];
-    bool isFullSpeed = static_cast<double>(level) <= m_options.fullSpeedShare * m_slots;
-    if (isFullSpeed || it.samples < m_options.minimumSamples)
+    if (isFullSpeed(level) || it.samples < m_options.minimumSamples)
         return 1;
     double age
         = static_cast<double>((now - it.lastSample).count()) / static_cast<double>(m_options.forgetHalfLife.count());
@@ -48,16 +58,23 @@
         return;
     auto level = static_cast<size_t>(std::clamp<long>(std::lround(concurrency), 1, m_slots));
     auto sample = static_cast<double>(elapsed.count());
-    double& baseTime = m_routes[route].baseTime;
+    Route& learned = m_routes[route];
+    double& baseTime = learned.baseTime;
     if (baseTime <= 0)
         baseTime = sample / slowdownAt(level, now);
-    double ratio = std::min(sample / baseTime, maximumRatio);
+    // Compared with what is known of the level: a cap on the time at full speed would shrink it while all calls are
+    // slow.
+    double slowdown = slowdownAt(level, now);
+    double usual = std::min(sample, maximumRatio * baseTime * slowdown);
     Level& it = m_levels[level];
     double weight = std::max(m_options.smoothing, 1.0 / (it.samples + 1));
-    it.slowdown += weight * (ratio - it.slowdown);
+    it.slowdown += weight * (std::min(usual / baseTime, maximumRatio) - it.slowdown);
     ++it.samples;
     it.lastSample = now;
-    baseTime += m_options.smoothing * (std::min(sample, maximumRatio * baseTime) / slowdownAt(level, now) - baseTime);
+    double distance = usual / slowdown - baseTime;
+    double share = isFullSpeed(level) ? m_options.smoothing : m_options.overloadSmoothing;
+    baseTime += share * distance;
+    learned.deviation += share * (std::abs(distance) - learned.deviation);
     chooseLimit(now);
 }
 
--- a/Source/Admission/ConcurrencyLimit.h
+++ b/Source/Admission/ConcurrencyLimit.h
@@ -19,6 +19,10 @@
     struct Options {
         // Weight of a new sample: about 20 samples of a level outweigh what it was before.
         double smoothing { 0.1 };
+        // Weight of a sample above full speed in a route's own time. Such a sample cannot tell a longer call from a
+        // slower target, so it may only move the time slowly; a share above it lets both drift away under a long
+        // overload.
+        double overloadSmoothing { 0.01 };
         // A level is trusted after this many samples.
         uint32_t minimumSamples { 12 };
         // Levels up to this share of the slots are taken to run at full speed; the others are compared with them.
@@ -48,6 +52,10 @@
 
     // Time that a call of the route takes at usual speed and full speed of the target; zero when unknown.
     Duration baseTime(const std::string& route) const;
+    // Mean distance of the route's calls from that time.
+    Duration deviation(const std::string& route) const;
+    // How much longer calls take at the limit than at the target's full speed.
+    double slowdownAtLimit(Instant now) const { return m_limit ? slowdownAt(m_limit, now) : 1; }
 
 private:
     struct Level {
@@ -59,8 +67,10 @@
     struct Route {
         // Microseconds.
         double baseTime { 0 };
+        double deviation { 0 };
     };
 
+    bool isFullSpeed(size_t level) const;
     double slowdownAt(size_t level, Instant now) const;
     void chooseLimit(Instant now);
 
--- a/tests/Admission/ConcurrencyLimitTest.cpp
+++ b/tests/Admission/ConcurrencyLimitTest.cpp
@@ -72,3 +72,23 @@
     limit.setSlots(4);
     EXPECT_EQ(limit.limit(), 4);
 }
+
+// Guards against an estimate that shrinks to nothing during a long overload, in which no call runs at full speed.
+TEST(ConcurrencyLimit, ALongOverloadLeavesTheTimesOfCallsKnown)
+{
+    ConcurrencyLimit limit;
+    limit.setSlots(10);
+    Random random(20261204);
+    Instant now = instantFromMicroseconds(0);
+    auto finish = [&](double concurrency) {
+        now += 1ms;
+        limit.noteFinished("route", Duration(static_cast<int64_t>(random.exponential(10'000)) + 1), concurrency, now);
+    };
+    for (int n = 0; n < 100; ++n)
+        finish(3);
+    for (int n = 0; n < 50'000; ++n)
+        finish(10);
+    double expected = static_cast<double>(limit.baseTime("route").count()) * limit.slowdownAtLimit(now);
+    EXPECT_GT(expected, 5'000);
+    EXPECT_LT(expected, 20'000);
+}
--- a/tests/Admission/ObjectiveTest.cpp
+++ b/tests/Admission/ObjectiveTest.cpp
@@ -130,3 +130,38 @@
     offerWith(4, 0);
     EXPECT_EQ(startsIn(m_bench.actions), std::vector { attemptOf(4) });
 }
+
+// Guards against short nested calls that are refused, and fail their parents, because the target's other calls are
+// long.
+TEST(AdmissionEstimate, AShortCallIsNotJudgedByTheTimeOfLongOnes)
+{
+    AdmissionBench bench({ .slots = 1 }, { .name = testService(), .kind = RequestKind::Idempotent });
+    auto offer = [&](uint64_t call, const std::string& route, Duration left) {
+        auto request = makeRequest(attemptOf(call), bench.now + left, { .kind = RequestKind::Idempotent });
+        request.route = route;
+        bench.run([&] { bench.controller->offer(bench.now, firstLink, std::move(request), bench.actions); });
+    };
+    auto finish = [&](uint64_t call, Duration elapsed) {
+        bench.advance(elapsed);
+        bench.answer(attemptOf(call));
+    };
+    for (uint64_t n = 100; n < 140; n += 4) {
+        offer(n, "short", 2s);
+        finish(n, 20ms);
+        for (uint64_t i = 1; i < 4; ++i) {
+            offer(n + i, "long", 2s);
+            finish(n + i, 280ms);
+        }
+    }
+    // On average calls take 215 ms here. A slot is free after that time, and a short call is answered soon after.
+    offer(1, "long", 2s);
+    offer(2, "short", 300ms);
+    EXPECT_TRUE(refusalsIn(bench.actions).empty());
+    finish(1, 250ms);
+    EXPECT_EQ(startsIn(bench.actions), std::vector { attemptOf(2) });
+    finish(2, 20ms);
+    // A long one could not be answered in that time.
+    offer(3, "long", 2s);
+    offer(4, "long", 300ms);
+    EXPECT_EQ(refusalsIn(bench.actions), std::vector { RefusalReason::DeadlineTooNear });
+}
