--- a/tests/HeavyLoad/LoadWorld.cpp
+++ b/tests/HeavyLoad/LoadWorld.cpp
@@ -268,9 +268,8 @@
     for (auto& action : actions) {
         if (auto* send = std::get_if<SendAttempt>(&action)) {
             Target& target = m_targets[send->target.node.value - 1000];
-            at(m_now + oneWay, [this, &target, sender, request = std::move(send->request)]() mutable {
-                receive(target, sender, std::move(request));
-            });
+            at(m_now + oneWay,
+                [this, &target, request = std::move(send->request)]() mutable { receive(target, std::move(request)); });
         } else if (auto* cancel = std::get_if<SendCancel>(&action)) {
             Target& target = m_targets[cancel->target.node.value - 1000];
             at(m_now + oneWay, [this, &target, message = cancel->cancel] {
@@ -337,15 +336,16 @@
         return;
     }
     auto attempt = static_cast<uint32_t>(refusedBy.size() + 1);
-    receive(*best, senderOf(id), makeRequest(id, attempt, best->id.node));
+    receive(*best, makeRequest(id, attempt, best->id.node));
 }
 
 // --- targets
 
-void World::receive(Target& target, size_t, CallRequest request)
+void World::receive(Target& target, CallRequest request)
 {
     AdmissionActions actions;
-    target.admission->offer(m_now, LinkId { 1 + senderOf(request.id.call) }, std::move(request), actions);
+    LinkId link { 1 + senderOf(request.id.call) };
+    target.admission->offer(m_now, link, std::move(request), actions);
     perform(target, std::move(actions));
     wakeTarget(target);
 }
--- a/tests/HeavyLoad/LoadWorld.h
+++ b/tests/HeavyLoad/LoadWorld.h
@@ -125,7 +125,7 @@
     void placeByTruth(const CallId&);
     void perform(size_t sender, CallActions);
     void perform(Target&, AdmissionActions);
-    void receive(Target&, size_t sender, CallRequest);
+    void receive(Target&, CallRequest);
     void answer(const AnswerCaller&);
     void wakeSender(size_t sender);
     void wakeTarget(Target&);
