--- a/tests/HeavyLoad/LoadWorld.cpp
+++ b/tests/HeavyLoad/LoadWorld.cpp
@@ -220,7 +220,7 @@
             .objective = hasObjective ? caller.firstSent + it.objective : Instant::max(),
             .route = hasObjective ? it.name : std::string() },
         m_now, actions);
-    perform(caller.sender, std::move(actions));
+    perform(std::move(actions));
     wakeSender(caller.sender);
 }
 
@@ -263,7 +263,7 @@
 
 // --- senders
 
-void World::perform(size_t sender, CallActions actions)
+void World::perform(CallActions actions)
 {
     for (auto& action : actions) {
         if (auto* send = std::get_if<SendAttempt>(&action)) {
@@ -293,7 +293,7 @@
             return;
         CallActions actions;
         m_senders[sender]->tick(m_now, actions);
-        perform(sender, std::move(actions));
+        perform(std::move(actions));
         wakeSender(sender);
     });
 }
@@ -365,7 +365,7 @@
                 if (m_contestant != Contestant::AllKnowing) {
                     CallActions next;
                     m_senders[senderOf(id.call)]->replyArrived(message, m_now, next);
-                    perform(senderOf(id.call), std::move(next));
+                    perform(std::move(next));
                     wakeSender(senderOf(id.call));
                 } else if (auto* answered = std::get_if<CallAnswered>(&message)) {
                     answer({ .id = id.call, .outcome = RunOutcome::Run, .result = answered->http });
--- a/tests/HeavyLoad/LoadWorld.h
+++ b/tests/HeavyLoad/LoadWorld.h
@@ -123,7 +123,7 @@
     void replace(size_t target);
     void call(const CallId&);
     void placeByTruth(const CallId&);
-    void perform(size_t sender, CallActions);
+    void perform(CallActions);
     void perform(Target&, AdmissionActions);
     void receive(Target&, CallRequest);
     void answer(const AnswerCaller&);
