Keep one acceptor of connections and one raw test client

Cause: the servers of links and of operators each had the same accept loop, one of them without the limit of connections a turn; two tests had the same raw client, one test its status twice. The codec's bound for the mean load was half of what reports can add up to, so such a request would have ended its link. Change: Acceptor in Source/Peer serves both (operators now also take 64 a turn); tests/Support/RawClient.h; asUsualCall is named scaleToUsualCall.

--- a/Source/Operator/OperatorServer.cpp
+++ b/Source/Operator/OperatorServer.cpp
@@ -1,15 +1,14 @@
 // Listening for operators' clients and dispatching their requests.
 #include "Operator/OperatorServer.h"
 
-#include "Loop/FdWatcher.h"
 #include "Loop/SocketStream.h"
 #include "Loop/Timer.h"
 #include "Operator/OperatorCodec.h"
+#include "Peer/Acceptor.h"
 #include "Peer/PeerCodec.h"
 #include "Peer/Sockets.h"
 
 #include <capnp/rpc-twoparty.h>
-#include <cerrno>
 #include <kj/debug.h>
 #include <map>
 #include <unistd.h>
@@ -19,8 +18,6 @@
 
 namespace {
 
-// When the process is out of descriptors the listener would otherwise be ready in every turn.
-constexpr Duration acceptRetryDelay = std::chrono::milliseconds(100);
 // How often idle connections are looked for.
 constexpr Duration idleCheckInterval = std::chrono::seconds(1);
 
@@ -226,34 +223,22 @@
     Private(EventLoop& loop, OperatorHandler& handler, OperatorServerOptions options)
         : m_state(std::make_shared<ServerState>(
             ServerState { .loop = loop, .handler = handler, .options = options, .counters = {}, .isClosed = false }))
-        , m_acceptTimer(loop, [this] { m_watcher->start(); })
+        , m_acceptor(loop, [this](int fd) { add(fd); })
         , m_idleTimer(loop, [this] { closeIdle(); })
     {
         m_idleTimer.startPeriodic(std::min(options.idleLimit, idleCheckInterval));
     }
-    ~Private() { stopListening(); }
 
     Result<Endpoint, OperatorServerError> listen(const Endpoint& endpoint)
     {
-        stopListening();
-        auto fd = createListener(endpoint);
-        if (!fd) {
-            return fd.error() == PeerError::InvalidAddress ? OperatorServerError::InvalidAddress
-                                                           : OperatorServerError::ListenFailed;
-        }
-        m_fd = fd.value();
-        m_watcher = std::make_unique<FdWatcher>(m_state->loop, m_fd, FdInterest::Read, [this] { acceptAll(); });
-        m_watcher->start();
-        return localEndpoint(m_fd);
+        auto bound = m_acceptor.listen(endpoint);
+        if (bound)
+            return bound.value();
+        return bound.error() == PeerError::InvalidAddress ? OperatorServerError::InvalidAddress
+                                                          : OperatorServerError::ListenFailed;
     }
 
-    void stopListening()
-    {
-        m_acceptTimer.stop();
-        m_watcher.reset();
-        if (m_fd >= 0)
-            ::close(std::exchange(m_fd, -1));
-    }
+    void stopListening() { m_acceptor.stop(); }
 
     // Ends all connections.
     void abandon()
@@ -269,23 +254,6 @@
     const OperatorServerCounters& counters() const { return m_state->counters; }
 
 private:
-    void acceptAll()
-    {
-        for (;;) {
-            int fd = accept4(m_fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-            if (fd >= 0) {
-                add(fd);
-                continue;
-            }
-            if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
-                m_watcher->stop();
-                m_acceptTimer.startOnce(acceptRetryDelay);
-            }
-            if (errno != EINTR && errno != ECONNABORTED)
-                return;
-        }
-    }
-
     void add(int fd)
     {
         if (m_connections.size() >= m_state->options.maximumConnections) {
@@ -332,9 +300,7 @@
     }
 
     StatePointer m_state;
-    int m_fd { -1 };
-    std::unique_ptr<FdWatcher> m_watcher;
-    Timer m_acceptTimer;
+    Acceptor m_acceptor;
     Timer m_idleTimer;
     uint64_t m_nextConnection { 1 };
     std::map<uint64_t, std::shared_ptr<Connection>> m_connections;
--- a/Source/Peer/PeerCodec.cpp
+++ b/Source/Peer/PeerCodec.cpp
@@ -357,7 +357,8 @@
         request.meanLoad = reader.getMeanLoad();
         request.retryTokens = reader.getRetryTokens();
         request.depth = reader.getDepth();
-        require(request.meanLoad >= 0 && request.meanLoad <= UINT16_MAX, "a mean load outside of its range");
+        // A report counts running and waiting calls in 16 bits each.
+        require(request.meanLoad >= 0 && request.meanLoad <= 2 * UINT16_MAX, "a mean load outside of its range");
         require(request.retryTokens <= maximumRetryTokens, "too many retry tokens");
         require(request.depth <= maximumDepth, "call too deep");
         request.http = readHttpRequest(reader.getHttp());
--- a/Source/Peer/PeerServer.cpp
+++ b/Source/Peer/PeerServer.cpp
@@ -1,41 +1,29 @@
 // Listening for links and keeping the set of accepted ones.
 #include "Peer/PeerServer.h"
 
-#include "Loop/FdWatcher.h"
 #include "Loop/Timer.h"
+#include "Peer/Acceptor.h"
 #include "Peer/ServerLink.h"
 #include "Peer/Sockets.h"
 
-#include <cerrno>
 #include <map>
 #include <unistd.h>
 #include <utility>
 
 namespace Berylport {
 
-namespace {
-
-// When the process is out of descriptors the listener would otherwise be ready in every turn.
-constexpr Duration acceptRetryDelay = std::chrono::milliseconds(100);
-// Connections accepted in one turn before others get theirs.
-constexpr int acceptsPerTurn = 64;
-
-} // namespace
-
 class PeerServer::Private final : public std::enable_shared_from_this<Private> {
 public:
     Private(EventLoop& loop, NodeId self, PeerHandler& handler, PeerServerOptions options)
         : m_context { .loop = loop, .self = self, .handler = handler, .options = options, .counters = {} }
         , m_checkTimer(loop, [this] { checkSilence(); })
-        , m_acceptTimer(loop, [this] { m_watcher->start(); })
+        , m_acceptor(loop, [this](int fd) { addLink(fd); })
     {
         m_checkTimer.startPeriodic(options.checkInterval);
     }
 
-    ~Private() { stopListening(); }
-
-    Result<Endpoint, PeerError> listen(const Endpoint&);
-    void stopListening();
+    Result<Endpoint, PeerError> listen(const Endpoint& endpoint) { return m_acceptor.listen(endpoint); }
+    void stopListening() { m_acceptor.stop(); }
     void confirmLinks(const std::function<void(const LinkInfo&)>&);
     void close(LinkId);
     // Ends all links without events.
@@ -45,57 +33,17 @@
     const PeerServerCounters& counters() const { return m_context.counters; }
 
 private:
-    void acceptAll();
     void addLink(int fd);
     void closeLater(LinkId);
     void checkSilence();
 
     ServerContext m_context;
-    int m_fd { -1 };
-    std::unique_ptr<FdWatcher> m_watcher;
     Timer m_checkTimer;
-    Timer m_acceptTimer;
+    Acceptor m_acceptor;
     uint64_t m_nextLink { 1 };
     std::map<LinkId, std::shared_ptr<ServerLink>> m_links;
 };
 
-Result<Endpoint, PeerError> PeerServer::Private::listen(const Endpoint& endpoint)
-{
-    stopListening();
-    auto fd = createListener(endpoint);
-    if (!fd)
-        return fd.error();
-    m_fd = fd.value();
-    m_watcher = std::make_unique<FdWatcher>(m_context.loop, m_fd, FdInterest::Read, [this] { acceptAll(); });
-    m_watcher->start();
-    return localEndpoint(m_fd);
-}
-
-void PeerServer::Private::stopListening()
-{
-    m_acceptTimer.stop();
-    m_watcher.reset();
-    if (m_fd >= 0)
-        ::close(std::exchange(m_fd, -1));
-}
-
-void PeerServer::Private::acceptAll()
-{
-    for (int i = 0; i < acceptsPerTurn; ++i) {
-        int fd = accept4(m_fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (fd >= 0) {
-            addLink(fd);
-            continue;
-        }
-        if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
-            m_watcher->stop();
-            m_acceptTimer.startOnce(acceptRetryDelay);
-        }
-        if (errno != EINTR && errno != ECONNABORTED)
-            return;
-    }
-}
-
 void PeerServer::Private::addLink(int fd)
 {
     if (m_links.size() >= m_context.options.maximumLinks) {
--- a/Source/Routing/TargetSelector.cpp
+++ b/Source/Routing/TargetSelector.cpp
@@ -376,7 +376,7 @@
 
 // What the time would have been for a call of the usual length: calls of different routes differ by more than targets
 // do, and a sender that compared them would follow the order of the routes instead of the targets' speed.
-Duration TargetSelector::asUsualCall(std::string_view route, Duration latency) const
+Duration TargetSelector::scaleToUsualCall(std::string_view route, Duration latency) const
 {
     auto it = m_routeTimes.find(route);
     if (it == m_routeTimes.end())
@@ -398,7 +398,7 @@
     }
     auto local = std::max(answer.latency - view->extraRoundTrip, Duration::zero());
     learnTime(answer.route, local);
-    local = asUsualCall(answer.route, local);
+    local = scaleToUsualCall(answer.route, local);
     view->hasRoutes = !answer.route.empty();
     m_latencies.add(local);
     view->addLatency(m_options, local);
@@ -449,7 +449,7 @@
     if (!view)
         return;
     finishOne(*view);
-    auto local = asUsualCall(route, waited - view->extraRoundTrip);
+    auto local = scaleToUsualCall(route, waited - view->extraRoundTrip);
     if (local <= view->latency)
         return;
     view->addLatency(m_options, local);
--- a/Source/Routing/TargetSelector.h
+++ b/Source/Routing/TargetSelector.h
@@ -92,7 +92,7 @@
     TargetView* find(const TargetId&);
     void finishOne(TargetView&);
     void learnTime(std::string_view route, Duration latency);
-    Duration asUsualCall(std::string_view route, Duration latency) const;
+    Duration scaleToUsualCall(std::string_view route, Duration latency) const;
     void addFailure(TargetView&, Instant now);
     void noteLoad(TargetView&, const LoadReport&, Instant now);
     void ejectIfOutlier(TargetView&, Instant now);
