--- a/Source/Settings/NodeSettings.h
+++ b/Source/Settings/NodeSettings.h
@@ -85,7 +85,7 @@
     double share { 0.1 };
     // Further attempts beyond the share that the whole fleet may make within the window. Zero: each node has a budget
     // of its own.
-    uint32_t fleetExtra { 0 };
+    double fleetExtra { 0 };
     Duration window { std::chrono::seconds(10) };
     // Idempotent calls are tried again after a target's own failure.
     bool serverErrors { false };
--- a/Source/Settings/SettingsSchema.cpp
+++ b/Source/Settings/SettingsSchema.cpp
@@ -2,6 +2,7 @@
 #include "Settings/SettingsSchema.h"
 
 #include <charconv>
+#include <iomanip>
 #include <limits>
 #include <sstream>
 
@@ -43,7 +44,8 @@
 std::string rangeText(auto minimum, auto maximum)
 {
     std::ostringstream stream;
-    stream << minimum << " to " << maximum;
+    // Enough digits for the largest bound, which would be shown as a power of ten otherwise.
+    stream << std::setprecision(10) << minimum << " to " << maximum;
     return stream.str();
 }
 
@@ -88,7 +90,8 @@
     return makeSetting(place, unit, rangeText(minimum, maximum), parse, std::to_string(field.defaultValue()));
 }
 
-template <typename Section> SettingInfo share(Place place, Field<Section, double> field, double minimum, double maximum)
+template <typename Section>
+SettingInfo decimal(Place place, std::string_view unit, Field<Section, double> field, double minimum, double maximum)
 {
     auto parse = [=](NodeSettings& settings, std::string_view text) -> std::optional<std::string> {
         auto n = parseNumber<double>(text);
@@ -100,7 +103,12 @@
     };
     std::ostringstream defaultText;
     defaultText << field.defaultValue();
-    return makeSetting(place, "share", rangeText(minimum, maximum), parse, defaultText.str());
+    return makeSetting(place, unit, rangeText(minimum, maximum), parse, defaultText.str());
+}
+
+template <typename Section> SettingInfo share(Place place, Field<Section, double> field, double minimum, double maximum)
+{
+    return decimal(place, "share", field, minimum, maximum);
 }
 
 template <typename Section> SettingInfo endpoint(Place place, Field<Section, Endpoint> field)
@@ -305,7 +313,7 @@
         Field { &S::routing, &RoutingSection::otherZoneFactor }, 1, 10));
     list.push_back(share({ "retry", "share", "further attempts that may reach targets, per call" },
         Field { &S::retry, &RetrySection::share }, 0, 1));
-    list.push_back(number({ "retry", "fleet_extra", "further attempts beyond the share, of all nodes in a window" },
+    list.push_back(decimal({ "retry", "fleet_extra", "further attempts beyond the share, of all nodes in a window" },
         "count", Field { &S::retry, &RetrySection::fleetExtra }, 0, 1'000'000));
     list.push_back(flag({ "retry", "server_errors", "try idempotent calls again after a target's status 500" },
         Field { &S::retry, &RetrySection::serverErrors }));
