--- a/Source/Base/GossipMessages.h
+++ b/Source/Base/GossipMessages.h
@@ -57,6 +57,8 @@
     uint64_t version { 0 };
     MemberState state { MemberState::Alive };
     std::vector<MemberTarget> targets;
+    // The start of a target on this VM whose leaving was acknowledged last; a later process on the VM is told of it.
+    std::optional<TargetIncarnation> departed {};
     // The configuration version in force on the node.
     uint64_t configurationVersion { 0 };
     bool operator==(const MemberRecord&) const = default;
--- a/Source/Base/TargetRecord.h
+++ b/Source/Base/TargetRecord.h
@@ -43,6 +43,14 @@
     return "unknown";
 }
 
+// One start of a target.
+struct TargetIncarnation {
+    std::string instance;
+    // Milliseconds since the Unix epoch, on the target's clock.
+    uint64_t startedAtMilliseconds { 0 };
+    bool operator==(const TargetIncarnation&) const = default;
+};
+
 struct TargetRecord {
     TargetId id;
     ZoneName zone;
--- a/Source/Membership/MemberTable.cpp
+++ b/Source/Membership/MemberTable.cpp
@@ -53,7 +53,7 @@
 
 bool hasSameContent(const MemberRecord& a, const MemberRecord& b)
 {
-    return a.targets == b.targets && a.gossip == b.gossip && a.peer == b.peer;
+    return a.targets == b.targets && a.gossip == b.gossip && a.peer == b.peer && a.departed == b.departed;
 }
 
 } // namespace
@@ -97,6 +97,14 @@
     hashChanged(before, m_self);
 }
 
+void MemberTable::setDeparted(const TargetIncarnation& departed)
+{
+    MemberRecord before = m_self;
+    m_self.departed = departed;
+    ++m_self.version;
+    hashChanged(before, m_self);
+}
+
 void MemberTable::refute(uint64_t seenVersion)
 {
     MemberRecord before = m_self;
--- a/Source/Membership/MemberTable.h
+++ b/Source/Membership/MemberTable.h
@@ -44,6 +44,7 @@
     const MemberRecord& self() const { return m_self; }
     // Raises the version of the own record, so that the new content spreads.
     void updateSelf(std::vector<MemberTarget>, MemberState);
+    void setDeparted(const TargetIncarnation&);
     // Does not raise the version: every message of this node carries its record, so the value needs no spreading.
     void setConfigurationVersion(uint64_t version) { m_self.configurationVersion = version; }
     // Raises the own version above that of a record in which others suspect this node or took it for dead.
--- a/Source/Membership/Membership.h
+++ b/Source/Membership/Membership.h
@@ -3,6 +3,7 @@
 
 #include "Membership/ContactCheck.h"
 #include "Membership/FailureDetector.h"
+#include "Membership/LostPeers.h"
 #include "Membership/MemberTable.h"
 #include "Membership/MembershipService.h"
 #include "Membership/RecordQueue.h"
--- a/Source/Membership/MembershipService.cpp
+++ b/Source/Membership/MembershipService.cpp
@@ -26,6 +26,8 @@
     size_t n = 52 + record.zone.text.size() + record.region.text.size();
     for (auto& it : record.targets)
         n += 24 + it.service.text.size();
+    if (record.departed)
+        n += 18 + record.departed->instance.size();
     return n;
 }
 
@@ -35,8 +37,8 @@
     , m_detector(options.detector)
     , m_contact(options.contact)
     , m_random(seed)
+    , m_lostPeers(options.lostPeers, m_table.self().gossip)
     , m_nextDigest(now + options.digestInterval)
-    , m_nextDeadProbe(now + options.deadProbeInterval)
     , m_nextExpiry(now + expiryInterval)
 {
 }
@@ -45,31 +47,65 @@
 
 void MembershipService::join(std::span<const Endpoint> seeds, Instant now, MembershipActions& actions)
 {
-    m_seeds.assign(seeds.begin(), seeds.end());
-    m_joinStarted = now;
-    m_isCatchingUp = true;
-    askSeeds(now, actions);
+    std::vector<Endpoint> unmet(seeds.begin(), seeds.end());
+    std::erase_if(unmet, [&](auto& it) { return isHeldByPresent(it); });
+    m_lostPeers.setRows(unmet);
+    if (m_joinStarted == Instant {}) {
+        m_joinStarted = now;
+        m_isCatchingUp = !m_hasJoined;
+    }
+    for (auto& it : m_lostPeers.choose(seedsAskedAtOnce, m_random))
+        ask(it, actions);
 }
 
-void MembershipService::askSeeds(Instant now, MembershipActions& actions)
+void MembershipService::joinAsFirst(Instant now)
 {
-    m_nextJoin = now + m_options.detector.probeInterval;
-    for (size_t n = 0; n < std::min(seedsAskedAtOnce, m_seeds.size()); ++n) {
-        GossipPing ping { .sequence = m_detector.takeSequence(), .sender = m_table.self().node };
-        ping.content = makeContent({});
-        ping.content.digest = m_table.digest();
-        actions.push_back(SendGossip { .to = m_seeds[m_random.below(m_seeds.size())], .message = std::move(ping) });
-    }
+    m_hasJoined = true;
+    m_isCatchingUp = false;
+    m_joinedAt = m_joinedAt.value_or(now);
 }
 
-void MembershipService::catchUp(Instant now, MembershipActions& actions)
+void MembershipService::ask(const LostPeer& peer, MembershipActions& actions)
+{
+    GossipPing ping { .sequence = m_detector.takeSequence(), .sender = m_table.self().node };
+    // A node that others took for dead has to hear that, so its record goes with the question.
+    ping.content = makeContent(peer.node.value_or(NodeId {}));
+    ping.content.digest = m_table.digest();
+    actions.push_back(SendGossip { .to = peer.gossip, .message = std::move(ping) });
+}
+
+void MembershipService::askLostPeers(Instant now, MembershipActions& actions)
+{
+    for (auto& it : m_lostPeers.due(m_table.presentCount() + 1, now, m_random))
+        ask(it, actions);
+}
+
+void MembershipService::doubt(Instant now, MembershipActions& actions)
 {
-    if (!m_isCatchingUp || now < m_nextJoin)
+    if (now < m_nextDoubt)
         return;
-    if (!m_hasJoined) {
-        askSeeds(now, actions);
+    m_nextDoubt = now + m_options.doubtInterval;
+    for (NodeId it : sample(m_table.presentNodes(), m_options.doubtFanout))
+        sendPing(it, m_detector.takeSequence(), true, actions);
+    for (auto& it : m_lostPeers.choose(m_options.doubtFanout, m_random))
+        ask(it, actions);
+}
+
+bool MembershipService::isSettled(Instant now) const
+{
+    return m_hasJoined && (!m_isCatchingUp || (m_joinedAt && now - *m_joinedAt >= m_options.settleLimit));
+}
+
+bool MembershipService::isViewPartial(Instant now) const
+{
+    bool hasUnmetRows = m_lostPeers.unmetRows() && now - m_joinStarted < m_options.unmetLimit;
+    return !m_hasJoined || m_isCatchingUp || m_isBehind || hasUnmetRows || m_contact.isCutOff();
+}
+
+void MembershipService::catchUp(Instant now, MembershipActions& actions)
+{
+    if (!m_isCatchingUp || !m_hasJoined || now < m_nextJoin)
         return;
-    }
     if (now - m_joinStarted >= m_options.joinLimit) {
         m_isCatchingUp = false;
         return;
@@ -108,8 +144,9 @@
     NodeId sender, const GossipContent& content, Instant now, MembershipActions& actions)
 {
     m_hasJoined = true;
+    m_joinedAt = m_joinedAt.value_or(now);
     for (auto& it : content.records) {
-        mergeRecord(it, now, actions);
+        mergeRecord(sender, it, now, actions);
         if (it.node == sender) {
             actions.push_back(PeerVersionSeen { .node = sender, .peer = it.peer, .version = it.configurationVersion });
         }
@@ -126,17 +163,19 @@
         m_senderWasDead = member->record;
 }
 
-void MembershipService::handle(const GossipPing& ping, const Endpoint& from, Instant, MembershipActions& actions)
+void MembershipService::handle(const GossipPing& ping, const Endpoint& from, Instant now, MembershipActions& actions)
 {
     GossipAck ack { .sequence = ping.sequence, .sender = m_table.self().node, .content = makeContent(ping.sender) };
     if (m_senderWasDead)
         ack.content.records.push_back(*m_senderWasDead);
     answerDigest(ping.content, from, ack.content, actions);
+    if (ack.content.requestedBuckets.size() > m_options.agreedBuckets)
+        digestsCompared(ack.content.requestedBuckets.size(), now);
     sendBuckets(ping.content.requestedBuckets, from, actions);
     actions.push_back(SendGossip { .to = from, .message = std::move(ack) });
 }
 
-void MembershipService::handle(const GossipAck& ack, const Endpoint& from, Instant, MembershipActions& actions)
+void MembershipService::handle(const GossipAck& ack, const Endpoint& from, Instant now, MembershipActions& actions)
 {
     m_detector.answered(ack.sender, ack.sequence);
     m_contact.answered(ack.sequence);
@@ -144,8 +183,8 @@
     if (ack.sequence)
         m_contact.probeAnswered();
     sendBuckets(ack.content.requestedBuckets, from, actions);
-    if (ack.content.digest && *ack.content.digest == m_table.digest())
-        m_isCatchingUp = false;
+    if (ack.content.digest)
+        digestsCompared(differingBuckets(*ack.content.digest).size(), now);
     auto relayed = m_relayed.find(ack.sequence);
     if (relayed == m_relayed.end() || relayed->second.target != ack.sender)
         return;
@@ -174,6 +213,15 @@
     sendBuckets(answer.requestedBuckets, to, actions);
 }
 
+void MembershipService::digestsCompared(size_t differing, Instant now)
+{
+    bool wasBehind = std::exchange(m_isBehind, differing > m_options.agreedBuckets);
+    if (!m_isBehind)
+        m_isCatchingUp = false;
+    else if (!wasBehind)
+        m_nextDigest = now;
+}
+
 std::vector<uint8_t> MembershipService::differingBuckets(const GossipDigest& other) const
 {
     GossipDigest own = m_table.digest();
@@ -225,12 +273,13 @@
 
 // --- records
 
-void MembershipService::mergeRecord(const MemberRecord& record, Instant now, MembershipActions& actions)
+void MembershipService::mergeRecord(NodeId sender, const MemberRecord& record, Instant now, MembershipActions& actions)
 {
     if (record.node == m_table.self().node) {
         refuteIfNeeded(record, actions);
         return;
     }
+    notePredecessor(record, actions);
     const Member* held = m_table.find(record.node);
     std::optional<MemberState> before;
     if (held)
@@ -243,14 +292,46 @@
         stateChanged(record, before, now, actions);
         [[fallthrough]];
     case MergeResult::Updated:
-        // Whoever sent the state to a new member has it spread already.
-        if (!m_isCatchingUp)
+        // Whoever sent the state to a new member has it spread already; what a node says of itself may be news.
+        if (!m_isCatchingUp || record.node == sender)
             m_queue.push(record.node);
         actions.push_back(MembersChanged {});
         return;
     }
 }
 
+void MembershipService::notePredecessor(const MemberRecord& record, MembershipActions& actions)
+{
+    bool isOwnVm = record.gossip == m_table.self().gossip;
+    if (!isOwnVm || !record.departed || m_table.self().departed)
+        return;
+    bool isNewer = !m_rememberedDeparture
+        || record.departed->startedAtMilliseconds > m_rememberedDeparture->startedAtMilliseconds;
+    if (!isNewer)
+        return;
+    m_rememberedDeparture = record.departed;
+    actions.push_back(DepartureRemembered { .departed = *record.departed });
+}
+
+bool MembershipService::isHeldByPresent(const Endpoint& gossip) const
+{
+    return std::ranges::any_of(m_table.others(),
+        [&](auto& entry) { return isPresent(entry.second.record.state) && entry.second.record.gossip == gossip; });
+}
+
+void MembershipService::noteAddress(const MemberRecord& record, Instant now)
+{
+    if (isPresent(record.state)) {
+        m_lostPeers.met(record.gossip);
+        return;
+    }
+    // The next process on a VM has the same address; it may be unable to reach the store and find this fleet by itself.
+    bool hasLeft = record.state == MemberState::Leaving;
+    Duration retention = hasLeft ? m_options.table.leftRetention : m_options.table.deadRetention;
+    if (!isHeldByPresent(record.gossip))
+        m_lostPeers.lost(record.gossip, record.node, now + retention);
+}
+
 void MembershipService::refuteIfNeeded(const MemberRecord& record, MembershipActions& actions)
 {
     bool isAccused = record.state == MemberState::Suspect || record.state == MemberState::Dead;
@@ -265,11 +346,14 @@
         return;
     m_table.refute(record.version);
     m_queue.push(m_table.self().node);
+    for (NodeId it : sample(m_table.presentNodes(), m_options.versionFanout))
+        tell(it, actions);
 }
 
 void MembershipService::stateChanged(
     const MemberRecord& record, std::optional<MemberState> before, Instant now, MembershipActions& actions)
 {
+    noteAddress(record, now);
     auto report = [&](MemberEventKind kind) { actions.push_back(MemberEvent { .node = record.node, .kind = kind }); };
     switch (record.state) {
     case MemberState::Alive:
@@ -343,7 +427,7 @@
         std::visit([&](auto& it) { handle(it, now, actions); }, detection);
     catchUp(now, actions);
     checkContact(now, actions);
-    probeDeadMember(now, actions);
+    askLostPeers(now, actions);
     if (now < m_nextExpiry)
         return;
     m_nextExpiry = now + expiryInterval;
@@ -356,14 +440,16 @@
     Instant next = std::min(m_detector.nextWake(), m_nextExpiry);
     if (m_contact.isRunning() || m_contact.isCutOff())
         next = std::min(next, m_contact.nextWake());
-    return m_isCatchingUp ? std::min(next, m_nextJoin) : next;
+    if (m_lostPeers.size())
+        next = std::min(next, m_lostPeers.nextTurn());
+    return m_isCatchingUp && m_hasJoined ? std::min(next, m_nextJoin) : next;
 }
 
 void MembershipService::handle(const ProbeMember& probe, Instant now, MembershipActions& actions)
 {
     bool withDigest = now >= m_nextDigest;
     if (withDigest)
-        m_nextDigest = now + m_options.digestInterval;
+        m_nextDigest = m_isBehind ? now : now + m_options.digestInterval;
     sendPing(probe.node, probe.sequence, withDigest, actions);
 }
 
@@ -406,22 +492,6 @@
     actions.push_back(MembersChanged {});
 }
 
-void MembershipService::probeDeadMember(Instant now, MembershipActions& actions)
-{
-    if (now < m_nextDeadProbe)
-        return;
-    m_nextDeadProbe = now + m_options.deadProbeInterval;
-    std::vector<NodeId> dead;
-    for (auto& [node, member] : m_table.others()) {
-        if (member.record.state == MemberState::Dead)
-            dead.push_back(node);
-    }
-    if (dead.empty())
-        return;
-    std::ranges::sort(dead);
-    sendPing(dead[m_random.below(dead.size())], m_detector.takeSequence(), true, actions);
-}
-
 // --- sending
 
 GossipContent MembershipService::makeContent(NodeId receiver)
@@ -519,6 +589,18 @@
     m_table.updateSelf(std::move(targets), m_table.self().state);
     m_queue.push(m_table.self().node);
     actions.push_back(MembersChanged {});
+    for (NodeId it : sample(m_table.presentNodes(), m_options.versionFanout))
+        tell(it, actions);
+}
+
+void MembershipService::setDeparted(const TargetIncarnation& departed, MembershipActions& actions)
+{
+    if (m_table.self().departed == departed)
+        return;
+    m_table.setDeparted(departed);
+    m_queue.push(m_table.self().node);
+    for (NodeId it : sample(m_table.presentNodes(), m_options.versionFanout))
+        tell(it, actions);
 }
 
 void MembershipService::setConfigurationVersion(uint64_t version, Instant, MembershipActions& actions)
--- a/Source/Node/AnnouncementOrder.h
+++ b/Source/Node/AnnouncementOrder.h
@@ -10,14 +10,6 @@
 
 namespace Berylport {
 
-// One start of a target.
-struct TargetIncarnation {
-    std::string instance;
-    // Milliseconds since the Unix epoch, on the target's clock.
-    uint64_t startedAtMilliseconds { 0 };
-    bool operator==(const TargetIncarnation&) const = default;
-};
-
 enum class AnnouncementNews : uint8_t {
     // Says what holds now.
     Current,
--- a/Source/Node/DirectoryTask.cpp
+++ b/Source/Node/DirectoryTask.cpp
@@ -9,16 +9,26 @@
 namespace {
 
 const std::string rowTable = "nodes";
-// Failed writes and reads of rows are repeated after this time.
-constexpr Duration rowRetryInterval = std::chrono::milliseconds(500);
-// Rows are read again this often until another node has answered.
-constexpr Duration seedInterval = std::chrono::seconds(1);
-// Nodes whose rows were read long ago without an answer from any of them are taken to be gone.
-constexpr Duration seedPatience = std::chrono::seconds(1);
+// Nodes whose rows were found this long ago without an answer from any of them are taken to be gone.
+constexpr Duration seedPatience = std::chrono::seconds(2);
 // Nodes of a zone that follow the store. With one of them dead and not noticed yet, two are left.
 constexpr ptrdiff_t readersPerZone = 3;
 constexpr Duration wakeInterval = std::chrono::milliseconds(100);
 
+std::string rowKey(const NodeContext& context)
+{
+    const std::string& name = context.settings.node.name;
+    return name.empty() ? toText(context.self) : name;
+}
+
+NodeRow makeRow(const NodeContext& context)
+{
+    const ListenSection& listen = context.settings.listen;
+    return {
+        .node = context.self, .gossip = listen.gossipAdvertised.value_or(listen.gossip), .departed = std::nullopt
+    };
+}
+
 } // namespace
 
 DirectoryTask::DirectoryTask(NodeContext& context)
@@ -30,10 +40,8 @@
     , m_store(context.adapter.connectStore(context.loop.base(), context.settings, context.seed))
     , m_follower({ .seed = context.seed ^ 0xD1EC7 })
     , m_timer(context.loop, guarded([this] { wake(); }))
+    , m_rows({ .seed = context.seed ^ 0x5EED }, rowKey(context), makeRow(context))
 {
-    const ListenSection& listen = context.settings.listen;
-    m_row.node = context.self;
-    m_row.gossip = listen.gossipAdvertised.value_or(listen.gossip);
 }
 
 DirectoryTask::~DirectoryTask() = default;
@@ -42,6 +50,8 @@
 {
     m_context.ports.configuration.attach(&m_mailbox);
     std::vector<FollowerAction> actions;
+    // Until it has met others a node cannot know whether it is to be a reader.
+    m_follower.setReader(false, steadyNow());
     m_follower.start(steadyNow(), actions);
     perform(actions);
     m_timer.startPeriodic(wakeInterval);
@@ -54,12 +64,6 @@
     m_timer.stop();
 }
 
-std::string DirectoryTask::rowKey() const
-{
-    const std::string& name = m_context.settings.node.name;
-    return name.empty() ? toText(m_context.self) : name;
-}
-
 void DirectoryTask::noteStore(bool isReachable, std::string_view operation, std::string_view reason)
 {
     m_context.metrics.add({ .name = "berylport_store_calls_total",
@@ -163,9 +167,24 @@
 
 void DirectoryTask::handle(ZoneMembersChanged&& message)
 {
+    m_zoneMembers = std::move(message.present);
+    chooseReader();
+}
+
+void DirectoryTask::handle(ContactLost&& message)
+{
+    m_isCutOff = message.isCutOff;
+    chooseReader();
+}
+
+void DirectoryTask::chooseReader()
+{
+    // A node that has just started knows only itself, which must not make it a reader.
+    if (!m_context.status.isDiscoveryDone)
+        return;
     // The list is sorted, so all nodes of the zone choose the same readers.
-    auto position = std::ranges::find(message.present, m_context.self) - message.present.begin();
-    m_follower.setReader(position < readersPerZone, steadyNow());
+    auto position = std::ranges::find(m_zoneMembers, m_context.self) - m_zoneMembers.begin();
+    m_follower.setReader(position < readersPerZone || m_isCutOff, steadyNow());
 }
 
 void DirectoryTask::handle(ConfigurationFetched&& fetched)
@@ -181,87 +200,82 @@
 
 void DirectoryTask::handle(RecordDeparture&& message)
 {
-    m_row.departed = std::move(message.departed);
-    m_isRowStale = true;
     m_waitingForRow.push_back(std::move(message.done));
-    m_nextWrite = steadyNow();
-    writeRow();
+    m_rows.setDeparted(message.departed, steadyNow());
+    m_context.ports.membership.post(DepartureKnown { .departed = std::move(message.departed) });
+    tickRows();
+    answerDepartures();
 }
 
-void DirectoryTask::writeRow()
+void DirectoryTask::answerDepartures()
 {
-    Instant now = steadyNow();
-    // Until the row of an earlier process is known it must not be overwritten: it may hold a departure.
-    bool isDue = m_isRowStale && m_isRowRead && !m_isWritingRow && now >= m_nextWrite;
-    if (!isDue)
+    if (!m_rows.isDurable())
         return;
-    m_isWritingRow = true;
-    m_isRowStale = false;
-    auto waiting = std::make_shared<std::vector<std::function<void()>>>(std::exchange(m_waitingForRow, {}));
-    m_store.rows->put(
-        rowTable, rowKey(), encodeNodeRow(m_row), guarded([this, waiting](Instant, const StoreResult<Done>& result) {
-            noteStore(result.has_value(), "row-write", result ? std::string_view() : toText(result.error().code));
-            if (result) {
-                for (auto& it : *waiting)
-                    it();
-            } else
-                m_waitingForRow.insert(m_waitingForRow.begin(), waiting->begin(), waiting->end());
-            rowWritten(result.has_value());
-        }));
+    for (auto& it : std::exchange(m_waitingForRow, {}))
+        it();
 }
 
-void DirectoryTask::rowWritten(bool isDone)
+void DirectoryTask::tickRows()
 {
-    m_isWritingRow = false;
-    if (!isDone) {
-        m_isRowStale = true;
-        m_nextWrite = steadyNow() + rowRetryInterval;
-    }
-    writeRow();
+    std::vector<RowAction> actions;
+    m_rows.tick(steadyNow(), actions);
+    perform(actions);
 }
 
-void DirectoryTask::listRows()
+void DirectoryTask::perform(std::vector<RowAction>& actions)
+{
+    for (auto& action : actions)
+        std::visit([this](auto& it) { perform(it); }, action);
+}
+
+void DirectoryTask::perform(const ReadRows&)
 {
-    if (m_isListing || steadyNow() < m_nextList)
-        return;
-    m_isListing = true;
     m_store.rows->list(rowTable, guarded([this](Instant, const StoreResult<std::vector<TableRow>>& rows) {
-        m_isListing = false;
         noteStore(rows.has_value(), "row-list", rows ? std::string_view() : toText(rows.error().code));
-        m_nextList = steadyNow() + (rows ? seedInterval : rowRetryInterval);
         if (rows)
             rowsListed(rows.value());
+        else
+            m_rows.readFailed(steadyNow());
+        tickRows();
     }));
 }
 
+void DirectoryTask::perform(const WriteRow& action)
+{
+    m_store.rows->put(rowTable, rowKey(m_context), encodeNodeRow(action.row), action.expectedVersion,
+        guarded([this](Instant, const StoreResult<uint64_t>& version) {
+            bool isConflict = !version && version.error().code == StoreErrorCode::Conflict;
+            noteStore(version || isConflict, "row-write", version ? std::string_view() : toText(version.error().code));
+            if (version)
+                m_rows.written(version.value());
+            else
+                m_rows.writeFailed(isConflict ? WriteFailure::Conflict : WriteFailure::Unknown, steadyNow());
+            answerDepartures();
+            tickRows();
+        }));
+}
+
 void DirectoryTask::rowsListed(const std::vector<TableRow>& rows)
 {
-    SeedsFound found;
+    std::vector<StoredRow> stored;
     for (auto& it : rows) {
-        auto row = decodeNodeRow(it.value);
-        if (!row) {
+        if (auto row = decodeNodeRow(it.value))
+            stored.push_back({ .key = it.key, .row = std::move(*row), .version = it.version });
+        else
             logEvent(Event::RowMalformed, { { "key", it.key } });
-            continue;
-        }
-        if (it.key != rowKey()) {
-            found.seeds.push_back(row->gossip);
-            continue;
-        }
-        if (!m_isRowRead && row->departed && !m_row.departed) {
-            m_row.departed = row->departed;
-            m_context.ports.target.post(DepartureRestored { .departed = *row->departed });
-        }
     }
-    m_isRowRead = true;
-    writeRow();
     Instant now = steadyNow();
-    m_firstListed = m_firstListed.value_or(now);
-    if (m_context.status.isDiscoveryDone)
-        return;
-    logEvent(Event::SeedsFound, { { "seeds", std::to_string(found.seeds.size()) } });
-    // The others may be about to write their rows, so a node is alone only when that holds for a while.
-    found.isFirstNode = found.seeds.empty() && now - *m_firstListed >= seedPatience;
-    m_context.ports.membership.post(std::move(found));
+    RowsRead found = m_rows.rowsRead(stored, now);
+    logEvent(Event::SeedsFound,
+        { { "seeds", std::to_string(found.others.size()) }, { "complete", m_rows.areOthersKnown() ? "yes" : "no" } });
+    if (found.departed) {
+        m_context.ports.target.post(DepartureRestored { .departed = *found.departed, .source = "store" });
+        m_context.ports.membership.post(DepartureKnown { .departed = *found.departed });
+    }
+    m_seedsFound = m_seedsFound.value_or(now);
+    // Who starts later finds this node's row, so a node is the first when there is no other row beside its own.
+    bool isFirstNode = found.others.empty() && m_rows.areOthersKnown();
+    m_context.ports.membership.post(SeedsFound { .seeds = std::move(found.others), .isFirstNode = isFirstNode });
 }
 
 void DirectoryTask::wake()
@@ -271,13 +285,14 @@
     m_follower.tick(now, actions);
     perform(actions);
     auto& status = m_context.status;
-    // Rows of machines that are gone stay in the store; a node whose seeds are all gone must serve nevertheless.
-    bool areSeedsGone = m_firstListed && now - *m_firstListed >= 2 * seedPatience;
-    if (!m_isRowRead || (!status.isDiscoveryDone && !areSeedsGone))
-        listRows();
-    else
-        status.isDiscoveryDone = true;
-    writeRow();
+    bool wasDone = status.isDiscoveryDone;
+    // Rows of VMs that are gone stay in the store; a node whose seeds are all gone must serve nevertheless.
+    status.isDiscoveryDone |= m_rows.areOthersKnown() && m_seedsFound && now - *m_seedsFound >= seedPatience;
+    if (status.isDiscoveryDone && (!wasDone || !m_hasChosenReader)) {
+        m_hasChosenReader = true;
+        chooseReader();
+    }
+    tickRows();
 }
 
 void DirectoryTask::handle(BeginDrain&&)
--- a/Source/Node/DirectoryTask.h
+++ b/Source/Node/DirectoryTask.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "Node/NodeContext.h"
-#include "Node/NodeRow.h"
+#include "Node/RowKeeper.h"
 
 #include <memory>
 #include <vector>
@@ -21,6 +21,7 @@
 private:
     // --- messages
     void handle(PeerVersion&&);
+    void handle(ContactLost&&);
     void handle(ZoneMembersChanged&&);
     void handle(ConfigurationFetched&&);
     void handle(ConfigurationFetchFailed&&);
@@ -38,31 +39,30 @@
     void adopt(std::string document, std::string_view origin);
 
     // --- own row and seeds
-    void listRows();
+    void perform(std::vector<RowAction>&);
+    void perform(const ReadRows&);
+    void perform(const WriteRow&);
+    void tickRows();
     void rowsListed(const std::vector<TableRow>&);
-    void writeRow();
-    void rowWritten(bool isDone);
+    void answerDepartures();
 
     void noteStore(bool isReachable, std::string_view operation, std::string_view reason);
     void wake();
-    std::string rowKey() const;
+    void chooseReader();
 
     NodeContext& m_context;
     Mailbox<ConfigurationMessage> m_mailbox;
     StorePorts m_store;
     SourceFollower m_follower;
+    // Nodes of the zone that are present, this one included.
+    std::vector<NodeId> m_zoneMembers;
+    bool m_isCutOff { false };
+    bool m_hasChosenReader { false };
     Timer m_timer;
-    NodeRow m_row;
-    // The row in the store differs from m_row.
-    bool m_isRowStale { true };
-    bool m_isWritingRow { false };
-    bool m_isListing { false };
-    // The own row of an earlier process has been read.
-    bool m_isRowRead { false };
-    Instant m_nextWrite;
-    Instant m_nextList;
-    std::optional<Instant> m_firstListed;
-    // Wait until the row that is to be written next is durable.
+    RowKeeper m_rows;
+    // When others were found in the rows for the first time.
+    std::optional<Instant> m_seedsFound;
+    // Wait until the own row is durable.
     std::vector<std::function<void()>> m_waitingForRow;
 };
 
--- a/Source/Node/EntryTask.cpp
+++ b/Source/Node/EntryTask.cpp
@@ -2,6 +2,7 @@
 #include "Node/EntryTask.h"
 
 #include "Log/Log.h"
+#include "Membership/Membership.h"
 #include "Trace/Trace.h"
 
 #include <algorithm>
@@ -463,12 +464,17 @@
                 { "attempts", std::to_string(answer.attempts) }, { "elapsed_ms", elapsed } });
         return;
     }
+    bool isTargetMissing = std::get<CallFailure>(answer.result) == CallFailure::NoTarget;
+    if (isTargetMissing && m_context.status.isViewPartial)
+        m_context.ports.membership.post(MembersDoubted {});
     Event event = answer.outcome == RunOutcome::MayHaveRun ? Event::CallOutcomeUnknown : Event::CallGivenUp;
     logEvent(event,
         { { "request", caller.requestId }, { "call", toText(answer.id) }, { "service", caller.service.text },
             { "route", caller.route }, { "outcome", std::string(toText(answer.outcome)) },
             { "reason", std::string(toText(std::get<CallFailure>(answer.result))) },
             { "refusal", answer.refusal ? std::string(toText(*answer.refusal)) : "none" },
+            { "members", std::to_string(m_context.status.members.size()) },
+            { "members_complete", m_context.status.isViewPartial ? "no" : "yes" },
             { "attempts", std::to_string(answer.attempts) }, { "elapsed_ms", elapsed },
             { "retry_after_ms", std::to_string(toMilliseconds(answer.retryAfter)) } });
 }
--- a/Source/Node/FleetPorts.h
+++ b/Source/Node/FleetPorts.h
@@ -21,7 +21,11 @@
 public:
     virtual ~SharedRows() = default;
     virtual void list(std::string table, Completion<std::vector<TableRow>>) = 0;
-    virtual void put(std::string table, std::string key, std::string value, Completion<Done>) = 0;
+    // Conflict unless the row has the expected version, zero meaning that there is none. Completes with the new
+    // version.
+    virtual void put(
+        std::string table, std::string key, std::string value, uint64_t expectedVersion, Completion<uint64_t>)
+        = 0;
 };
 
 // What the operators have written, as of one position in the source's history.
--- a/Source/Node/MembershipTask.cpp
+++ b/Source/Node/MembershipTask.cpp
@@ -116,10 +116,8 @@
 
 void MembershipTask::handle(SeedsFound&& message)
 {
-    if (m_service.hasJoined())
-        return;
     if (message.isFirstNode)
-        m_service.joinAsFirst();
+        m_service.joinAsFirst(steadyNow());
     std::vector<Endpoint> seeds = m_context.settings.membership.seeds;
     seeds.insert(seeds.end(), message.seeds.begin(), message.seeds.end());
     MembershipActions actions;
@@ -127,6 +125,20 @@
     perform(actions);
 }
 
+void MembershipTask::handle(DepartureKnown&& message)
+{
+    MembershipActions actions;
+    m_service.setDeparted(message.departed, actions);
+    perform(actions);
+}
+
+void MembershipTask::handle(MembersDoubted&&)
+{
+    MembershipActions actions;
+    m_service.doubt(steadyNow(), actions);
+    perform(actions);
+}
+
 void MembershipTask::handle(BeginDrain&&)
 {
     MembershipActions actions;
@@ -184,6 +196,12 @@
     // The service itself uses it when a version changes.
 }
 
+void MembershipTask::perform(DepartureRemembered&& remembered)
+{
+    m_context.ports.target.post(DepartureRestored { .departed = remembered.departed, .source = "peer" });
+    m_context.ports.configuration.post(RecordDeparture { .departed = remembered.departed, .done = [] {} });
+}
+
 void MembershipTask::publishMembers()
 {
     m_hasChanges = false;
@@ -218,12 +236,18 @@
     if (m_hasChanges)
         next = std::min(next, m_lastPublication + publicationInterval);
     m_timer.startAt(next);
-    updateMetrics();
+    updateStatus();
 }
 
-void MembershipTask::updateMetrics()
+void MembershipTask::updateStatus()
 {
-    m_context.status.isDiscoveryDone |= m_service.hasJoined();
+    Instant now = steadyNow();
+    m_context.status.isDiscoveryDone |= m_service.isSettled(now);
+    // The other tasks choose by what they know of the fleet as a whole.
+    m_hasChanges
+        |= m_context.status.isDiscoveryDone != std::exchange(m_wasDiscoveryDone, m_context.status.isDiscoveryDone);
+    m_context.status.isViewPartial = m_service.isViewPartial(now);
+    m_context.status.knownNodes = m_service.knownNodes();
     const GossipCounters& counters = m_socket.counters();
     m_context.metrics.set("berylport_members", static_cast<double>(m_service.table().presentCount() + 1));
     m_context.metrics.set("berylport_gossip_sent_bytes", static_cast<double>(counters.sentBytes));
--- a/Source/Node/MembershipTask.h
+++ b/Source/Node/MembershipTask.h
@@ -20,6 +20,8 @@
     void handle(CoordinatorHeld&&);
     void handle(RemindMembers&&);
     void handle(SeedsFound&&);
+    void handle(DepartureKnown&&);
+    void handle(MembersDoubted&&);
     void handle(BeginDrain&&);
 
     void perform(MembershipActions&);
@@ -30,9 +32,10 @@
     void perform(ContactChanged&&);
     void perform(PeerVersionSeen&&);
     void perform(CoordinatorLearned&&);
+    void perform(DepartureRemembered&&);
     void publishMembers();
     void wake();
-    void updateMetrics();
+    void updateStatus();
 
     NodeContext& m_context;
     Mailbox<MembershipMessage> m_mailbox;
@@ -44,6 +47,7 @@
     // True at first: the other tasks must hear of this node itself.
     bool m_hasChanges { true };
     Instant m_lastPublication;
+    bool m_wasDiscoveryDone { false };
 };
 
 } // namespace Berylport
--- a/Source/Node/NodeContext.h
+++ b/Source/Node/NodeContext.h
@@ -19,8 +19,12 @@
     bool isDraining { false };
     bool isStoreReachable { false };
     bool isCoordinator { false };
-    // This node has exchanged members with another, or knows that there is none.
+    // This node knows the members as another one does, or knows that there is none.
     bool isDiscoveryDone { false };
+    // Members, and so targets, may be missing.
+    bool isViewPartial { true };
+    // Nodes that may exist: members and rows at which nobody has answered yet.
+    size_t knownNodes { 0 };
     uint64_t configurationVersion { 0 };
     std::vector<MemberRecord> members;
     std::vector<TargetRecord> targets;
--- a/Source/Node/NodeMessages.h
+++ b/Source/Node/NodeMessages.h
@@ -64,6 +64,8 @@
 // An earlier process of this node had acknowledged that this target leaves.
 struct DepartureRestored {
     TargetIncarnation departed;
+    // Who remembered it.
+    std::string_view source;
 };
 struct ServingChanged {
     GuardState state { GuardState::Unconfirmed };
@@ -177,9 +179,15 @@
     // The table holds no row of another node.
     bool isFirstNode { false };
 };
+// A target on this VM leaves, and later processes on the VM have to know it.
+struct DepartureKnown {
+    TargetIncarnation departed;
+};
+// A call found no target while members may be missing.
+struct MembersDoubted { };
 
-using MembershipMessage
-    = std::variant<TargetsAnnounced, VersionInForce, CoordinatorHeld, RemindMembers, SeedsFound, BeginDrain>;
+using MembershipMessage = std::variant<TargetsAnnounced, VersionInForce, CoordinatorHeld, RemindMembers, SeedsFound,
+    DepartureKnown, MembersDoubted, BeginDrain>;
 
 // --- to the configuration task
 
--- /dev/null
+++ b/Source/Node/RowKeeper.cpp
@@ -0,0 +1,104 @@
+// Order of the reads and writes of rows.
+#include "Node/RowKeeper.h"
+
+#include <algorithm>
+
+namespace Berylport {
+
+RowKeeper::RowKeeper(const Options& options, std::string key, NodeRow self)
+    : m_options(options)
+    , m_random(options.seed)
+    , m_key(std::move(key))
+    , m_row(std::move(self))
+{
+}
+
+bool RowKeeper::isDurable() const
+{
+    return m_storedVersion && m_stored && m_stored->gossip == m_row.gossip && m_stored->departed == m_row.departed;
+}
+
+void RowKeeper::tick(Instant now, std::vector<RowAction>& actions)
+{
+    if (m_isReading || m_writing || now < m_next)
+        return;
+    if (m_storedVersion && !isDurable()) {
+        bool isNewRow = !*m_storedVersion && !m_isFirstWriteDelayed && !m_row.departed;
+        if (isNewRow) {
+            m_isFirstWriteDelayed = true;
+            m_next = now
+                + Duration(
+                    static_cast<int64_t>(m_random.unit() * static_cast<double>(m_options.firstWriteSpread.count())));
+            if (now < m_next)
+                return;
+        }
+        m_writing = m_row;
+        actions.push_back(WriteRow { .row = m_row, .expectedVersion = *m_storedVersion });
+        return;
+    }
+    if (m_storedVersion && m_areOthersKnown)
+        return;
+    m_isReading = true;
+    actions.push_back(ReadRows {});
+}
+
+RowsRead RowKeeper::rowsRead(std::span<const StoredRow> rows, Instant)
+{
+    m_isReading = false;
+    m_failures = 0;
+    m_stored.reset();
+    m_storedVersion = 0;
+    RowsRead result;
+    for (auto& it : rows) {
+        if (it.key != m_key) {
+            result.others.push_back(it.row.gossip);
+            continue;
+        }
+        m_stored = it.row;
+        m_storedVersion = it.version;
+        if (it.row.departed && !m_row.departed) {
+            m_row.departed = it.row.departed;
+            result.departed = it.row.departed;
+        }
+    }
+    m_areOthersKnown = m_areOthersKnown || (m_stored && m_stored->gossip == m_row.gossip);
+    return result;
+}
+
+void RowKeeper::readFailed(Instant now)
+{
+    m_isReading = false;
+    retryLater(now);
+}
+
+void RowKeeper::written(uint64_t version)
+{
+    m_failures = 0;
+    m_stored = std::move(m_writing);
+    m_writing.reset();
+    m_storedVersion = version;
+}
+
+void RowKeeper::writeFailed(WriteFailure failure, Instant now)
+{
+    m_writing.reset();
+    m_storedVersion.reset();
+    if (failure != WriteFailure::Conflict)
+        retryLater(now);
+}
+
+void RowKeeper::setDeparted(const TargetIncarnation& departed, Instant now)
+{
+    m_row.departed = departed;
+    m_next = now;
+}
+
+void RowKeeper::retryLater(Instant now)
+{
+    Duration wait = std::min(m_options.firstRetry * (1 << std::min<uint32_t>(m_failures, 8)), m_options.maximumRetry);
+    ++m_failures;
+    // Half to whole of the time, so that a fleet does not return to the store together.
+    m_next = now + wait / 2 + Duration(static_cast<int64_t>(m_random.unit() * static_cast<double>(wait.count()) / 2));
+}
+
+} // namespace Berylport
--- a/Source/Node/TargetTask.cpp
+++ b/Source/Node/TargetTask.cpp
@@ -414,7 +414,8 @@
 
 void TargetTask::handle(DepartureRestored&& message)
 {
-    logEvent(Event::TargetDeparted, { { "instance", message.departed.instance }, { "source", "store" } });
+    logEvent(Event::TargetDeparted,
+        { { "instance", message.departed.instance }, { "source", std::string(message.source) } });
     std::string instance = message.departed.instance;
     m_order.restoreDeparture(std::move(message.departed));
     for (auto& [service, target] : m_targets) {
--- a/Source/Peer/GossipCodec.cpp
+++ b/Source/Peer/GossipCodec.cpp
@@ -3,6 +3,7 @@
 #include "Peer/GossipSocket.h"
 
 #include <Gossip.capnp.h>
+#include <algorithm>
 #include <arpa/inet.h>
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
@@ -19,6 +20,7 @@
 constexpr uint64_t maximumUnpackedWords = 8192;
 constexpr size_t maximumRecords = 128;
 constexpr size_t maximumTargets = 32;
+constexpr size_t maximumInstanceBytes = 200;
 constexpr size_t v4Size = 4;
 constexpr size_t v6Size = 16;
 
@@ -110,6 +112,35 @@
     return record;
 }
 
+void writeDepartures(Schema::GossipMessage::Builder builder, const std::vector<MemberRecord>& records)
+{
+    auto count = std::ranges::count_if(records, [](auto& it) { return it.departed.has_value(); });
+    if (!count)
+        return;
+    auto departures = builder.initDepartures(static_cast<unsigned>(count));
+    unsigned i = 0;
+    for (size_t n = 0; n < records.size(); ++n) {
+        if (!records[n].departed)
+            continue;
+        auto departure = departures[i++];
+        departure.setRecord(static_cast<uint8_t>(n));
+        departure.setInstance(textOf(records[n].departed->instance));
+        departure.setStartMs(records[n].departed->startedAtMilliseconds);
+    }
+}
+
+void readDepartures(Schema::GossipMessage::Reader reader, std::vector<MemberRecord>& records)
+{
+    for (auto it : reader.getDepartures()) {
+        require(it.getRecord() < records.size(), "departure without a record");
+        auto instance = it.getInstance();
+        require(instance.size() <= maximumInstanceBytes, "instance id too long");
+        records[it.getRecord()].departed
+            = TargetIncarnation { .instance = std::string(instance.begin(), instance.size()),
+                  .startedAtMilliseconds = it.getStartMs() };
+    }
+}
+
 void writeContent(Schema::GossipMessage::Builder builder, const GossipContent& content)
 {
     if (!content.records.empty()) {
@@ -118,6 +149,7 @@
         for (const auto& it : content.records)
             writeRecord(records[i++], it);
     }
+    writeDepartures(builder, content.records);
     if (content.digest)
         builder.setDigest(kj::arrayPtr(content.digest->data(), content.digest->size()));
     if (!content.requestedBuckets.empty()) {
@@ -139,6 +171,7 @@
     require(records.size() <= maximumRecords, "too many records");
     for (auto it : records)
         content.records.push_back(readRecord(it));
+    readDepartures(reader, content.records);
     auto digest = reader.getDigest();
     require(!digest.size() || digest.size() == gossipBucketCount, "invalid digest");
     if (digest.size()) {
--- a/Source/Schema/Generated/Gossip.capnp.h
+++ b/Source/Schema/Generated/Gossip.capnp.h
@@ -36,6 +36,7 @@
 CAPNP_DECLARE_SCHEMA(959069a4095d7b19);
 CAPNP_DECLARE_SCHEMA(d1dfbfce2faab7d9);
 CAPNP_DECLARE_SCHEMA(ae4fd4c47c5e62a7);
+CAPNP_DECLARE_SCHEMA(92eee3003d0de855);
 CAPNP_DECLARE_SCHEMA(b510e4f7c5a5ca63);
 CAPNP_DECLARE_SCHEMA(d2c7ff790a23e652);
 
@@ -109,6 +110,21 @@
   };
 };
 
+struct Departure {
+  Departure() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(92eee3003d0de855, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct GossipMessage {
   GossipMessage() = delete;
 
@@ -123,7 +139,7 @@
   struct PingRequest;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b510e4f7c5a5ca63, 4, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(b510e4f7c5a5ca63, 4, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -138,7 +154,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d2c7ff790a23e652, 4, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(d2c7ff790a23e652, 4, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -571,6 +587,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class Departure::Reader {
+public:
+  typedef Departure Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getRecord() const;
+
+  inline bool hasInstance() const;
+  inline  ::capnp::Text::Reader getInstance() const;
+
+  inline  ::uint64_t getStartMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Departure::Builder {
+public:
+  typedef Departure Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getRecord();
+  inline void setRecord( ::uint8_t value);
+
+  inline bool hasInstance();
+  inline  ::capnp::Text::Builder getInstance();
+  inline void setInstance( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initInstance(unsigned int size);
+  inline void adoptInstance(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownInstance();
+
+  inline  ::uint64_t getStartMs();
+  inline void setStartMs( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Departure::Pipeline {
+public:
+  typedef Departure Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class GossipMessage::Reader {
 public:
   typedef GossipMessage Reads;
@@ -616,6 +723,9 @@
   inline bool isPingRequest() const;
   inline typename PingRequest::Reader getPingRequest() const;
 
+  inline bool hasDepartures() const;
+  inline  ::capnp::List< ::Berylport::Schema::Departure,  ::capnp::Kind::STRUCT>::Reader getDepartures() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -696,6 +806,13 @@
   inline typename PingRequest::Builder getPingRequest();
   inline typename PingRequest::Builder initPingRequest();
 
+  inline bool hasDepartures();
+  inline  ::capnp::List< ::Berylport::Schema::Departure,  ::capnp::Kind::STRUCT>::Builder getDepartures();
+  inline void setDepartures( ::capnp::List< ::Berylport::Schema::Departure,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Berylport::Schema::Departure,  ::capnp::Kind::STRUCT>::Builder initDepartures(unsigned int size);
+  inline void adoptDepartures(::capnp::Orphan< ::capnp::List< ::Berylport::Schema::Departure,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Berylport::Schema::Departure,  ::capnp::Kind::STRUCT>> disownDepartures();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1252,6 +1369,68 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint8_t Departure::Reader::getRecord() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Departure::Builder::getRecord() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Departure::Builder::setRecord( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Departure::Reader::hasInstance() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Departure::Builder::hasInstance() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Departure::Reader::getInstance() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Departure::Builder::getInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Departure::Builder::setInstance( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Departure::Builder::initInstance(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Departure::Builder::adoptInstance(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Departure::Builder::disownInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Departure::Reader::getStartMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Departure::Builder::getStartMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Departure::Builder::setStartMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::Berylport::Schema::GossipMessage::Which GossipMessage::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
@@ -1527,6 +1706,40 @@
   _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).clear();
   return typename GossipMessage::PingRequest::Builder(_builder);
 }
+inline bool GossipMessage::Reader::hasDepartures() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipMessage::Builder::hasDepartures() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Berylport::Schema::Departure,  ::capnp::Kind::STRUCT>::Reader GossipMessage::Reader::getDepartures() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Berylport::Schema::Departure,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Berylport::Schema::Departure,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::getDepartures() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Berylport::Schema::Departure,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void GossipMessage::Builder::setDepartures( ::capnp::List< ::Berylport::Schema::Departure,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Berylport::Schema::Departure,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Berylport::Schema::Departure,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::initDepartures(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Berylport::Schema::Departure,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void GossipMessage::Builder::adoptDepartures(
+    ::capnp::Orphan< ::capnp::List< ::Berylport::Schema::Departure,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Berylport::Schema::Departure,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Berylport::Schema::Departure,  ::capnp::Kind::STRUCT>> GossipMessage::Builder::disownDepartures() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Berylport::Schema::Departure,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t GossipMessage::PingRequest::Reader::getTarget() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
--- a/Source/Schema/Gossip.capnp
+++ b/Source/Schema/Gossip.capnp
@@ -53,6 +53,14 @@
   node @2 :UInt64;
 }
 
+# The start of a target whose leaving the node of a record acknowledged last. Apart from the record, as few have one.
+struct Departure {
+  # Position of the record in the message.
+  record @0 :UInt8;
+  instance @1 :Text;
+  startMs @2 :UInt64;
+}
+
 struct GossipMessage {
   protocolVersion @0 :UInt16;
   sequence @1 :UInt64;
@@ -64,6 +72,7 @@
   requestedBuckets @5 :List(UInt8);
   # Absent when the sender knows no coordinator.
   coordinator @6 :Coordinator;
+  departures @11 :List(Departure);
   union {
     ping @7 :Void;
     ack @8 :Void;
--- a/tests/Membership/GossipNetwork.h
+++ b/tests/Membership/GossipNetwork.h
@@ -48,7 +48,7 @@
         if (n)
             service(n).join(std::vector { endpointOf(0) }, m_now, actions);
         else
-            service(n).joinAsFirst();
+            service(n).joinAsFirst(m_now);
         perform(n, actions);
         return n;
     }
--- a/tests/Peer/GossipSocketTest.cpp
+++ b/tests/Peer/GossipSocketTest.cpp
@@ -52,6 +52,8 @@
     full.digest = createDigest();
     full.requestedBuckets = { 0, 5, 63 };
     full.coordinator = CoordinatorInfo { .zone = ZoneName("galle-a"), .fencingToken = 9, .node = NodeId { 4 } };
+    full.records[1].departed
+        = TargetIncarnation { .instance = "i-7f3a91c2", .startedAtMilliseconds = 1'700'000'000'123 };
     GossipContent v6 = createContent(1);
     // Also the case of two different addresses.
     v6.records[0].gossip.address = "fd00::1";
--- a/tests/PlatformAdapter/FakeStore.h
+++ b/tests/PlatformAdapter/FakeStore.h
@@ -94,6 +94,13 @@
     void transact(const std::string& body, const Responder& responder)
     {
         auto json = JsonDocument::parse(body);
+        for (auto& it : json->root().field("expect").items()) {
+            auto row = m_rows.find({ it.field("table-name").text().value_or(""), it.field("key").text().value_or("") });
+            if (it.field("schema-ver").whole() != (row == m_rows.end() ? 0 : row->second.version)) {
+                responder.answer({ .status = 412 });
+                return;
+            }
+        }
         for (auto& it : json->root().field("write").items()) {
             auto text = it.field("value").text().value_or("");
             auto value = kj::decodeBase64(kj::arrayPtr(text.data(), text.size()));
--- a/tests/PlatformAdapter/StoreTest.cpp
+++ b/tests/PlatformAdapter/StoreTest.cpp
@@ -55,8 +55,8 @@
 
 TEST_F(StoreTest, RowsComeBackAsTheyWereWritten)
 {
-    std::optional<StoreResult<Done>> written;
-    m_ports.rows->put("nodes", "sidecar-\"a\" 1", "text with \n and \x01", into(written));
+    std::optional<StoreResult<uint64_t>> written;
+    m_ports.rows->put("nodes", "sidecar-\"a\" 1", "text with \n and \x01", 0, into(written));
     EXPECT_TRUE(wait(written).has_value());
     auto rows = list();
     ASSERT_EQ(rows.value().size(), 1u);
@@ -64,6 +64,24 @@
     EXPECT_EQ(rows.value()[0].value, "text with \n and \x01");
 }
 
+// A write that the store carries out late must not undo a newer one, such as the departure of a target.
+TEST_F(StoreTest, AWriteWithAnOlderVersionIsAConflict)
+{
+    auto put = [&](const std::string& value, uint64_t expected) {
+        std::optional<StoreResult<uint64_t>> written;
+        m_ports.rows->put("nodes", "vm", value, expected, into(written));
+        return wait(written);
+    };
+    auto first = put("one", 0);
+    ASSERT_TRUE(first.has_value());
+    auto second = put("two", first.value());
+    ASSERT_TRUE(second.has_value());
+    EXPECT_GT(second.value(), first.value());
+    EXPECT_EQ(put("late", 0).error().code, StoreErrorCode::Conflict);
+    EXPECT_EQ(put("late", first.value()).error().code, StoreErrorCode::Conflict);
+    EXPECT_EQ(m_store.read("nodes", "vm"), "two");
+}
+
 // A fleet larger than one answer must not be cut off at the first page.
 TEST_F(StoreTest, ListsEveryPage)
 {
