Keep the shared retry budget after a restart of all nodes

Cause: a node that had met nobody held the whole fleet's extra attempts, each process began with a full bucket, and at least one token was given to every node, so where nodes outnumber the extra attempts the parts exceeded the whole. Change: no floor before the fleet is known, unanswered rows count as nodes, buckets of a shared budget begin empty, and where a part is below one token only the first nodes of the known order have a floor; unused shares lose their value in a window. Measured: FleetBudget.* pass with 12, 77, 300 and 3,900 nodes, with and without a restart in the middle of trouble.

--- a/Source/Calls/CallBudget.cpp
+++ b/Source/Calls/CallBudget.cpp
@@ -2,26 +2,39 @@
 #include "Calls/CallBudget.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Berylport {
 
 CallBudget::CallBudget(Options options)
     : m_options(options)
-    , m_floorTokens(options.floorBurst)
+    , m_floorTokens(options.beginsEmpty ? 0 : options.floorBurst)
 {
 }
 
-CallBudget::Options CallBudget::partOf(const FleetBudget& fleet, size_t nodes)
+CallBudget::Options CallBudget::partOf(const FleetBudget& fleet, const FleetPosition& position)
 {
     constexpr double savedShare = 0.5;
     constexpr double steadyShare = 0.2;
-    double part = fleet.extra / static_cast<double>(std::max<size_t>(nodes, 1));
     double seconds = std::max(std::chrono::duration<double>(fleet.window).count(), 1.0);
-    // Below one token nothing could ever be spent.
-    double burst = std::max(savedShare * part, 1.0);
-    return {
-        .share = fleet.share, .floorPerSecond = steadyShare * part / seconds, .shareBurst = burst, .floorBurst = burst
+    auto options = [&](double steady, double burst) {
+        // Below one token nothing could ever be spent; the lifetime bounds what many nodes save up by single calls.
+        return Options { .share = fleet.share,
+            .floorPerSecond = steady / seconds,
+            .shareBurst = std::max(burst, 1.0),
+            .floorBurst = burst,
+            .shareLifetime = fleet.window,
+            .beginsEmpty = true };
     };
+    if (!position.nodes)
+        return options(0, 0);
+    double part = fleet.extra / static_cast<double>(position.nodes);
+    if (savedShare * part >= 1)
+        return options(steadyShare * part, savedShare * part);
+    double holders = std::floor(savedShare * fleet.extra);
+    if (static_cast<double>(position.rank) >= holders)
+        return options(0, 0);
+    return options(steadyShare * fleet.extra / holders, 1);
 }
 
 void CallBudget::setOptions(const Options& options)
@@ -37,6 +50,10 @@
 {
     std::chrono::duration<double> elapsed = std::max(now - m_refilledAt, Duration::zero());
     m_floorTokens = std::min(m_floorTokens + m_options.floorPerSecond * elapsed.count(), m_options.floorBurst);
+    if (m_options.shareLifetime > Duration::zero() && m_shareTokens > 0) {
+        std::chrono::duration<double> lifetime = m_options.shareLifetime;
+        m_shareTokens *= std::exp(-elapsed / lifetime);
+    }
     m_refilledAt = std::max(now, m_refilledAt);
 }
 
--- a/Source/Node/EntryTask.cpp
+++ b/Source/Node/EntryTask.cpp
@@ -314,7 +314,13 @@
     if (!retry.fleetExtra)
         return;
     FleetBudget fleet { .share = retry.share, .extra = retry.fleetExtra, .window = retry.window };
-    m_coordinator.routes().setRetryBudget(CallBudget::partOf(fleet, m_context.status.members.size()));
+    const NodeStatus& status = m_context.status;
+    // Members are sorted, so all nodes that know the same ones agree on their order.
+    auto rank = std::ranges::count_if(
+        status.members, [&](auto& it) { return isPresent(it.state) && it.node < m_context.self; });
+    FleetPosition position { .nodes = status.isDiscoveryDone ? status.knownNodes : 0,
+        .rank = static_cast<size_t>(rank) };
+    m_coordinator.routes().setRetryBudget(CallBudget::partOf(fleet, position));
 }
 
 void EntryTask::handle(CatalogueChanged&& message)
--- a/tests/Calls/CallBudgetFleetTest.cpp
+++ b/tests/Calls/CallBudgetFleetTest.cpp
@@ -13,8 +13,10 @@
 struct FleetShape {
     size_t nodes { 12 };
     double callsPerNodeSecond { 10 };
-    uint32_t extra { 60 };
+    double extra { 60 };
     double allowedRatio { 0.2 };
+    // All nodes are restarted in the middle of the trouble.
+    bool areRestarted { false };
 };
 
 // Every node retries whenever its budget lets it, after a long calm in which it has saved up; returns the most extra
@@ -24,7 +26,13 @@
     constexpr Duration step = 100ms;
     constexpr size_t windowSteps = 100;
     FleetBudget fleet { .share = shape.allowedRatio / 2, .extra = shape.extra, .window = 10s };
-    std::vector<CallBudget> budgets(shape.nodes, CallBudget(CallBudget::partOf(fleet, shape.nodes)));
+    std::vector<CallBudget> budgets;
+    auto startAll = [&] {
+        budgets.clear();
+        for (size_t rank = 0; rank < shape.nodes; ++rank)
+            budgets.emplace_back(CallBudget::partOf(fleet, { .nodes = shape.nodes, .rank = rank }));
+    };
+    startAll();
     std::vector<double> taken;
     Instant now = instantFromMicroseconds(1);
     double due = 0;
@@ -37,6 +45,8 @@
                 it.noteCall();
         }
         bool isTrouble = n > 200;
+        if (shape.areRestarted && n == 230)
+            startAll();
         for (auto& it : budgets) {
             while (isTrouble && it.tryTake(now))
                 ++sum;
@@ -64,6 +74,32 @@
     EXPECT_LE(worstExcess({ .nodes = 77, .callsPerNodeSecond = 0.2, .extra = 194 }), 194);
 }
 
+// Without it each process would begin with what the one before it had spent already.
+TEST(FleetBudget, ARestartOfAllNodesGivesNothingAnew)
+{
+    EXPECT_LE(worstExcess({ .areRestarted = true }), 60);
+    EXPECT_LE(worstExcess({ .callsPerNodeSecond = 0.2, .areRestarted = true }), 60);
+    EXPECT_LE(worstExcess({ .nodes = 77, .callsPerNodeSecond = 0.2, .extra = 194, .areRestarted = true }), 194);
+}
+
+// With a token for each node the parts would add up to more than the whole.
+TEST(FleetBudget, MoreNodesThanExtraAttemptsStayBelowTheBound)
+{
+    EXPECT_LE(worstExcess({ .nodes = 300, .callsPerNodeSecond = 10, .extra = 30 }), 30);
+    EXPECT_LE(worstExcess({ .nodes = 300, .callsPerNodeSecond = 0.2, .extra = 30 }), 30);
+    EXPECT_LE(worstExcess({ .nodes = 3900, .callsPerNodeSecond = 0.05, .extra = 30.7 }), 30.7);
+    EXPECT_LE(worstExcess({ .nodes = 300, .callsPerNodeSecond = 1, .extra = 1 }), 1);
+}
+
+// A node that has met nobody yet is not alone for that.
+TEST(FleetBudget, ANodeThatDoesNotKnowTheFleetHasNoFloor)
+{
+    CallBudget budget { CallBudget::partOf({ .share = 0.1, .extra = 60, .window = 10s }, {}) };
+    Instant now = instantFromMicroseconds(1);
+    for (Duration passed {}; passed < 60s; passed += 100ms)
+        EXPECT_FALSE(budget.tryTake(now + passed));
+}
+
 // A budget of each node's own would not: the defaults of twelve nodes at rest add up to six times the bound.
 TEST(FleetBudget, BudgetsThatAreNotSharedAddUp)
 {
