Survive a write to a connection that its peer has closed

Cause: no node ignored SIGPIPE, and evhttp and the bufferevents write without MSG_NOSIGNAL, so one caller or target that closed at the wrong moment ended the node with all its calls. The tests of Http hid it, as their fixture ignores the signal itself. Change: the event loop, which every process has, ignores the signal; the write's own error is handled as before. Measured: the new death test fails on the code before (killed by signal 13) and passes now.

--- a/Source/Loop/EventLoop.cpp
+++ b/Source/Loop/EventLoop.cpp
@@ -4,6 +4,7 @@
 #include "Loop/Timer.h"
 
 #include <atomic>
+#include <csignal>
 #include <deque>
 #include <event2/event.h>
 #include <kj/async.h>
@@ -179,6 +180,8 @@
 EventLoop::EventLoop()
     : m_private(std::make_unique<Private>(*this))
 {
+    // A write to a connection that its peer has closed fails with EPIPE; by default it would end the process.
+    std::signal(SIGPIPE, SIG_IGN);
 }
 
 EventLoop::~EventLoop() = default;
--- a/tests/Loop/EventLoopTest.cpp
+++ b/tests/Loop/EventLoopTest.cpp
@@ -29,6 +29,21 @@
 } // namespace
 
 // Fails when KJ promises get no turn while libevent drives the loop.
+// libevent writes without MSG_NOSIGNAL: one caller or target that closed its connection ended the whole node.
+TEST(EventLoopDeathTest, AWriteToAClosedConnectionDoesNotEndTheProcess)
+{
+    auto writeToClosedPeer = [] {
+        std::signal(SIGPIPE, SIG_DFL);
+        EventLoop loop;
+        int fds[2];
+        if (socketpair(AF_UNIX, SOCK_STREAM, 0, fds))
+            std::exit(1);
+        close(fds[1]);
+        std::exit(write(fds[0], "x", 1) == -1 && errno == EPIPE ? 0 : 1);
+    };
+    EXPECT_EXIT(writeToClosedPeer(), testing::ExitedWithCode(0), "");
+}
+
 TEST(EventLoop, RunsPromisesBesideTimers)
 {
     EventLoop loop;
