Give an answer to its own request only, and bound bytes that are no answer

Cause: (a) interim heads restarted the head's limit, answers to other requests were skipped without limit, and lines of tiny chunks were not counted, so a target in trouble could be read at full speed until the deadline; (b) an answer that names no request was taken as the caller's own on a connection that was in use before, so a late second copy could reach the next caller; targets of the product's own dialect named none at all; (c) answers without a length were dropped as faults, though the users' platform allows them when the connection ends in order. Change: at most eight interim heads within the head's limit, four foreign answers, chunk lines within the body's limit. Answers name their request (Berylport-Parent in the own dialect); one that does not is lost on a used connection and ends a fresh one. Close-delimited answers are taken where the dialect allows them, never after a reset. A target with an id is not used before a restarted node knows which departures were acknowledged.

--- a/Source/Http/MessageParser.cpp
+++ b/Source/Http/MessageParser.cpp
@@ -16,6 +16,8 @@
 // Enough for any length that fits a limit, and too few to overflow 64 bits.
 constexpr size_t maxLengthDigits = 18;
 constexpr size_t maxChunkDigits = 15;
+// Interim answers before the final one; real servers send one or two.
+constexpr uint32_t maxInterimAnswers = 8;
 
 bool isDigit(char c) { return c >= '0' && c <= '9'; }
 
@@ -89,7 +91,7 @@
     for (char c : bytes) {
         ++taken;
         bool followsReturn = !m_head.empty() && m_head.back() == '\r';
-        if (m_head.size() >= m_limits.headBytes) {
+        if (m_interimBytes + m_head.size() >= m_limits.headBytes) {
             fail(ParseFault::HeadTooLarge);
             return taken;
         }
@@ -133,6 +135,8 @@
 {
     if (m_framing == Framing::Chunked)
         return feedChunked(bytes);
+    if (m_framing == Framing::UntilClose)
+        return feedUntilClose(bytes);
     auto n = static_cast<size_t>(std::min<uint64_t>(m_remaining, bytes.size()));
     m_body.append(bytes.substr(0, n));
     m_remaining -= n;
@@ -141,6 +145,16 @@
     return n;
 }
 
+size_t MessageParser::feedUntilClose(std::string_view bytes)
+{
+    if (bytes.size() > m_limits.bodyBytes - m_body.size()) {
+        fail(ParseFault::BodyTooLarge);
+        return bytes.size();
+    }
+    m_body.append(bytes);
+    return bytes.size();
+}
+
 size_t MessageParser::feedChunked(std::string_view bytes)
 {
     if (m_chunkStep != ChunkStep::Data)
@@ -178,6 +192,11 @@
     auto text = std::exchange(m_chunkLine, {});
     std::string_view line(text);
     line.remove_suffix(2);
+    m_chunkLineBytes += text.size();
+    if (m_chunkLineBytes > m_limits.bodyBytes + m_limits.headBytes) {
+        fail(ParseFault::BodyTooLarge);
+        return;
+    }
     switch (m_chunkStep) {
     case ChunkStep::Size:
         beginChunk(line);
@@ -271,7 +290,8 @@
     m_framing = framing;
     m_remaining = length;
     m_chunkStep = ChunkStep::Size;
-    m_state = framing == Framing::Chunked || length ? State::Body : State::Whole;
+    bool hasBody = framing == Framing::Chunked || framing == Framing::UntilClose || length;
+    m_state = hasBody ? State::Body : State::Whole;
     return std::nullopt;
 }
 
@@ -282,14 +302,32 @@
     m_headers.clear();
 }
 
+std::optional<ParseFault> MessageParser::skipInterim()
+{
+    m_interimBytes += m_head.size();
+    if (++m_interimAnswers > maxInterimAnswers)
+        return ParseFault::TooManyInterimAnswers;
+    restartHead();
+    return std::nullopt;
+}
+
+void MessageParser::connectionEnded()
+{
+    if (endsWithConnection())
+        m_state = State::Whole;
+}
+
 void MessageParser::reset()
 {
     restartHead();
+    m_interimBytes = 0;
+    m_interimAnswers = 0;
     m_state = State::Head;
     m_body.clear();
     m_isKeptAlive = true;
     m_chunkLine.clear();
     m_trailerBytes = 0;
+    m_chunkLineBytes = 0;
 }
 
 size_t MessageParser::headerCount(std::string_view name) const
@@ -413,10 +451,8 @@
         return fault;
     if (m_response.status == 101)
         return ParseFault::UnexpectedUpgrade;
-    if (m_response.status < 200) {
-        restartHead();
-        return std::nullopt;
-    }
+    if (m_response.status < 200)
+        return skipInterim();
     m_isKeptAlive = !m_isOldVersion && !hasElement(m_headers, "Connection", "close");
     return chooseFraming();
 }
@@ -449,8 +485,12 @@
         return beginBody(Framing::None, 0);
     if (stated.isChunked)
         return beginBody(Framing::Chunked, 0);
-    if (!stated.length)
-        return ParseFault::CloseDelimited;
+    if (!stated.length) {
+        if (!limits().allowsCloseDelimited)
+            return ParseFault::CloseDelimited;
+        m_isKeptAlive = false;
+        return beginBody(Framing::UntilClose, 0);
+    }
     return beginBody(*stated.length ? Framing::Length : Framing::None, *stated.length);
 }
 
--- a/Source/Http/MessageParser.h
+++ b/Source/Http/MessageParser.h
@@ -35,8 +35,9 @@
     LengthRequired,
     BodyNotAllowed,
     BadChunk,
-    // The end of the answer would be the end of the connection, which a crash of the target looks like too.
+    // The end of the answer would be the end of the connection, which a crash of the target may look like too.
     CloseDelimited,
+    TooManyInterimAnswers,
     UnexpectedUpgrade,
 };
 
@@ -89,6 +90,8 @@
         return "bad-chunk";
     case ParseFault::CloseDelimited:
         return "close-delimited";
+    case ParseFault::TooManyInterimAnswers:
+        return "too-many-interim-answers";
     case ParseFault::UnexpectedUpgrade:
         return "unexpected-upgrade";
     }
@@ -118,9 +121,11 @@
 }
 
 struct ParseLimits {
-    // Start line and headers, and also the trailers of a chunked body.
+    // Start line and headers, those of interim answers included, and also the trailers of a chunked body.
     size_t headBytes { 16 * 1024 };
     size_t bodyBytes { 1024 * 1024 };
+    // An answer without a length may end with its connection.
+    bool allowsCloseDelimited { false };
 };
 
 class MessageParser {
@@ -142,6 +147,10 @@
     ParseFault fault() const { return m_fault; }
     // True once any byte of the message has been taken.
     bool hasBegun() const { return m_state != State::Head || !m_head.empty(); }
+    // The body ends only when its sender closes the connection in order.
+    bool endsWithConnection() const { return m_state == State::Body && m_framing == Framing::UntilClose; }
+    // The connection was closed in order. Makes a message whole that ends with it.
+    void connectionEnded();
     // True when the connection may carry another message after this one.
     bool isKeptAlive() const { return m_isKeptAlive; }
 
@@ -156,6 +165,8 @@
         None,
         Length,
         Chunked,
+        // The body ends with the connection.
+        UntilClose,
     };
 
     // Length and coding as the headers state them.
@@ -170,16 +181,20 @@
     std::optional<ParseFault> parseHeaders(std::string_view lines);
     std::optional<ParseFault> readStatedFraming(bool isOldVersion, StatedFraming&) const;
     std::optional<ParseFault> beginBody(Framing, uint64_t length);
-    // Drops the head just read, for an interim answer.
-    void restartHead();
+    // Drops the head just read, for an interim answer; a fault when there have been too many.
+    std::optional<ParseFault> skipInterim();
     void reset();
     size_t headerCount(std::string_view name) const;
 
+    const ParseLimits& limits() const { return m_limits; }
+
     std::vector<HttpHeader> m_headers;
     std::string m_body;
     bool m_isKeptAlive { true };
 
 private:
+    void restartHead();
+
     enum class ChunkStep : uint8_t {
         Size,
         Data,
@@ -189,6 +204,7 @@
 
     size_t feedHead(std::string_view);
     size_t feedBody(std::string_view);
+    size_t feedUntilClose(std::string_view);
     size_t feedChunked(std::string_view);
     size_t feedChunkLine(std::string_view);
     void endChunkLine();
@@ -202,6 +218,9 @@
     ParseFault m_fault { ParseFault::BadHeader };
     // Bytes of the head so far; no byte has been accepted that breaks the rules on line ends and control bytes.
     std::string m_head;
+    // Bytes of interim answers before this head.
+    size_t m_interimBytes { 0 };
+    uint32_t m_interimAnswers { 0 };
     // Start of the line that is being read, within m_head.
     size_t m_lineStart { 0 };
     Framing m_framing { Framing::None };
@@ -210,6 +229,8 @@
     ChunkStep m_chunkStep { ChunkStep::Size };
     std::string m_chunkLine;
     size_t m_trailerBytes { 0 };
+    // Of all chunk lines of the body; many small chunks must not exceed the body's own limit unnoticed.
+    size_t m_chunkLineBytes { 0 };
 };
 
 class RequestParser final : public MessageParser {
--- a/Source/Http/TargetClient.cpp
+++ b/Source/Http/TargetClient.cpp
@@ -21,6 +21,9 @@
 // evhttp's own timeouts are set beyond any of ours, so that only ours act.
 constexpr int evhttpTimeoutSeconds = 24 * 3600;
 
+// Answers to other requests that are skipped before the connection is given up.
+constexpr uint32_t maxForeignAnswers = 4;
+
 // What evhttp reads in place of a whole answer.
 constexpr std::string_view placeholder = "HTTP/1.1 204 No Content\r\n\r\n";
 
@@ -101,6 +104,7 @@
     static void handleOutput(evbuffer*, const evbuffer_cb_info*, void*);
     static void handleDone(evhttp_request*, void*);
     static void handleClosed(evhttp_connection*, void*);
+    static void handleEnd(bufferevent*, short events, void*);
 
     void readAnswer(evbuffer*);
     void deliver(evbuffer*, bool hasTrailingBytes);
@@ -121,6 +125,12 @@
     Instant m_idleSince;
     bool m_isConnected { false };
     bool m_hasSentBytes { false };
+    // Requests that this connection has carried, the present one included.
+    uint64_t m_requests { 0 };
+    // Answers to other requests that were skipped during this one.
+    uint32_t m_foreignAnswers { 0 };
+    // The answer under way ends with the connection.
+    bool m_isAwaitingEnd { false };
     // Set while this object changes the input buffer, whose callback must then do nothing.
     bool m_isPlacing { false };
 };
@@ -203,6 +213,8 @@
 {
     m_phase = Phase::Busy;
     m_hasSentBytes = false;
+    m_foreignAnswers = 0;
+    ++m_requests;
     m_call = std::move(call);
     m_call->connection = this;
     auto& request = m_call->request;
@@ -265,6 +277,25 @@
         if (m_parser.state() == MessageParser::State::Whole)
             deliver(input, evbuffer_get_length(input));
     }
+    if (m_phase == Phase::Busy && m_parser.endsWithConnection() && !m_isAwaitingEnd) {
+        m_isAwaitingEnd = true;
+        // evhttp reports an orderly end and a reset alike, so from here on it does not hear of this connection.
+        bufferevent_setcb(m_bufferevent, nullptr, nullptr, handleEnd, this);
+    }
+}
+
+void TargetConnection::handleEnd(bufferevent*, short events, void* argument)
+{
+    auto* self = static_cast<TargetConnection*>(argument);
+    if (self->m_phase != Phase::Busy)
+        return;
+    bool isOrderly = (events & BEV_EVENT_EOF) && !(events & BEV_EVENT_ERROR);
+    if (!isOrderly) {
+        self->handleFailure();
+        return;
+    }
+    self->m_parser.connectionEnded();
+    self->deliver(bufferevent_get_input(self->m_bufferevent), false);
 }
 
 void TargetConnection::deliver(evbuffer* input, bool hasTrailingBytes)
@@ -273,13 +304,21 @@
     bool isWritten = !evbuffer_get_length(bufferevent_get_output(m_bufferevent));
     bool isReusable = m_parser.isKeptAlive() && !hasTrailingBytes && isWritten;
     auto response = m_parser.take();
-    auto& isOwnAnswer = m_call->options.isOwnAnswer;
-    if (isOwnAnswer && !isOwnAnswer(response)) {
+    auto& ownerOf = m_call->options.ownerOf;
+    auto owner = ownerOf ? ownerOf(response) : AnswerOwner::Own;
+    bool isUncertain = owner == AnswerOwner::Unnamed && m_requests > 1;
+    bool isFlooded = owner == AnswerOwner::Other && ++m_foreignAnswers > maxForeignAnswers;
+    if (isUncertain || isFlooded) {
+        finish(Lost { LossReason::AnswerMalformed });
+        retire();
+        return;
+    }
+    if (owner == AnswerOwner::Other) {
         m_parser.expectAnswerTo(m_call->request.method);
         return;
     }
     finish(std::move(response));
-    if (!isReusable) {
+    if (!isReusable || owner == AnswerOwner::Unnamed) {
         retire();
         return;
     }
--- a/Source/Http/TargetClient.h
+++ b/Source/Http/TargetClient.h
@@ -79,12 +79,22 @@
 
 using SendResult = std::variant<HttpResponse, NotSent, Lost>;
 
+// Whose answer a target has sent, as far as it says so.
+enum class AnswerOwner : uint8_t {
+    // This request's.
+    Own,
+    // Another request's: a late or repeated answer.
+    Other,
+    // It names no request. Only on a connection that has carried no other request it cannot be another's.
+    Unnamed,
+};
+
 struct SendOptions {
     Instant deadline;
     bool isIdempotent { false };
-    // Whether an answer belongs to this request; empty accepts any. One that does not is skipped, and the next answer
-    // on the connection is taken.
-    std::function<bool(const HttpResponse&)> isOwnAnswer {};
+    // Whose an answer is; empty accepts any. Another request's answer is skipped and the next one on the connection is
+    // taken. One that names no request is lost on a connection that was used before, and ends its connection otherwise.
+    std::function<AnswerOwner(const HttpResponse&)> ownerOf {};
 };
 
 struct TargetCall;
--- a/Source/Node/Dialect.h
+++ b/Source/Node/Dialect.h
@@ -19,6 +19,8 @@
     CallId call;
     // The target stops work after this time.
     Duration remaining {};
+    // As the caller named its request; empty when it did not.
+    std::string_view requestId;
     // The target's own id from its announcement; empty when it gave none. Another process on its address then refuses
     // the request.
     std::string_view instance;
@@ -28,8 +30,8 @@
 struct TargetReport {
     // The target states that it did not run the request and will not.
     bool hasNotRun { false };
-    // The request that the answer belongs to; empty when it does not say.
-    std::string requestId;
+    // Equals answerTag() of the request that the answer belongs to; empty when it does not say.
+    std::string answerTag;
     std::optional<ReportedLoad> load;
 };
 
@@ -57,6 +59,10 @@
     virtual void prepareForward(HttpRequest&, std::string_view originService) const = 0;
     virtual void prepareForTarget(HttpRequest&, const TargetHandover&) const = 0;
     virtual TargetReport readTargetAnswer(const HttpResponse&) const = 0;
+    // What a target repeats in its answer to this request.
+    virtual std::string answerTag(const TargetHandover&) const = 0;
+    // Targets may send answers without a length, which end with their connection.
+    virtual bool allowsCloseDelimitedAnswers() const = 0;
     // Tells the caller when to come back.
     virtual void setRetryAfter(HttpResponse&, Duration) const = 0;
     virtual TargetMessageRead readTargetMessage(const HttpRequest&) const = 0;
--- a/Source/Node/LocalTarget.cpp
+++ b/Source/Node/LocalTarget.cpp
@@ -33,9 +33,11 @@
 {
 }
 
-void LocalTarget::connect(const Endpoint& endpoint)
+void LocalTarget::connect(const Endpoint& endpoint, bool allowsCloseDelimitedAnswers)
 {
-    TargetClientOptions options { .limits = { .headBytes = 16 * 1024, .bodyBytes = settings.maximumAnswerBytes },
+    TargetClientOptions options { .limits = { .headBytes = 16 * 1024,
+                                      .bodyBytes = settings.maximumAnswerBytes,
+                                      .allowsCloseDelimited = allowsCloseDelimitedAnswers },
         .connectTime = settings.connectTimeout,
         .maxConnections = settings.maximumConnections };
     client = std::make_unique<TargetClient>(base, endpoint, options);
@@ -47,6 +49,10 @@
         return TargetState::Down;
     if (isDrainedByOperator)
         return TargetState::Draining;
+    // A target with an id of its own may be one that was let go before this process started.
+    bool mayHaveDeparted = !areDeparturesKnown && !announcement->instance.empty();
+    if (mayHaveDeparted && announcement->state == TargetState::Ready)
+        return TargetState::Starting;
     return announcement->state;
 }
 
--- a/Source/Node/LocalTarget.h
+++ b/Source/Node/LocalTarget.h
@@ -45,7 +45,7 @@
     LocalTarget(event_base*, NodeId self, const ServiceName&, const TargetSection&, Instant now);
 
     // The address of the target has changed or is known for the first time.
-    void connect(const Endpoint&);
+    void connect(const Endpoint&, bool allowsCloseDelimitedAnswers);
     // Ready only when it has announced so, is not drained by an operator, and its announcement has not lapsed.
     TargetState effectiveState() const;
 
@@ -59,6 +59,8 @@
     Instant announcedAt;
     // Set by an operator; holds until undone, whatever the target announces.
     bool isDrainedByOperator { false };
+    // The store or other members have told this process which departures earlier ones had acknowledged.
+    bool areDeparturesKnown { false };
     // The target refused a connection since its last announcement.
     bool isRefusing { false };
     std::string healthPath { "/health" };
--- a/Source/Node/OwnDialect.cpp
+++ b/Source/Node/OwnDialect.cpp
@@ -47,11 +47,14 @@
 TargetReport OwnDialect::readTargetAnswer(const HttpResponse& response) const
 {
     TargetReport report { .hasNotRun = findHeader(response.headers, Header::notRun).has_value() };
+    report.answerTag = findHeader(response.headers, Header::parent).value_or(std::string_view());
     if (auto load = findHeader(response.headers, Header::load))
         report.load = parseReportedLoad(*load);
     return report;
 }
 
+std::string OwnDialect::answerTag(const TargetHandover& handover) const { return toText(handover.call); }
+
 // Retry-After has whole seconds only; rounding down would bring the caller back too early.
 void OwnDialect::setRetryAfter(HttpResponse& response, Duration wait) const
 {
--- a/Source/Node/TargetTask.cpp
+++ b/Source/Node/TargetTask.cpp
@@ -24,6 +24,13 @@
 // the acknowledgement; this process enforces the departure in any case.
 constexpr Duration departureRecordLimit = std::chrono::milliseconds(700);
 
+AnswerOwner ownerOf(const TargetReport& report, std::string_view tag)
+{
+    if (report.answerTag.empty() || tag.empty())
+        return AnswerOwner::Unnamed;
+    return report.answerTag == tag ? AnswerOwner::Own : AnswerOwner::Other;
+}
+
 HttpResponse makeText(uint16_t status, std::string_view text)
 {
     return { .status = status,
@@ -109,6 +116,7 @@
         return *target;
     target = std::make_unique<LocalTarget>(
         m_context.loop.base(), m_context.self, service, m_context.settings.target, steadyNow());
+    target->areDeparturesKnown = m_areDeparturesKnown;
     for (LinkId it : m_links)
         target->admission.linkOpened(it);
     auto definition = m_catalogue->services.find(service);
@@ -438,7 +446,7 @@
     target.isRefusing = false;
     if (isOtherProcess) {
         loseRunning(target, LossReason::TargetClosed);
-        target.connect(announcement.endpoint);
+        target.connect(announcement.endpoint, dialect().allowsCloseDelimitedAnswers());
         target.admission.setColdUntil(now + announcement.coldFor);
     }
     if (hasOtherSlots) {
@@ -475,6 +483,18 @@
     m_context.ports.membership.post(std::move(message));
 }
 
+void TargetTask::learnDepartures()
+{
+    if (m_areDeparturesKnown || !m_context.status.isDiscoveryDone)
+        return;
+    m_areDeparturesKnown = true;
+    for (auto& [service, target] : m_targets) {
+        target->areDeparturesKnown = true;
+        if (target->announcement)
+            stateChanged(*target);
+    }
+}
+
 void TargetTask::checkAnnouncements(Instant now)
 {
     for (auto& [service, target] : m_targets) {
@@ -499,7 +519,9 @@
 {
     Instant now = steadyNow();
     HttpRequest http = std::move(start.http);
-    TargetHandover handover { .call = start.id.call, .remaining = start.deadline - now };
+    TargetHandover handover {
+        .call = start.id.call, .remaining = start.deadline - now, .requestId = start.requestId, .instance = {}
+    };
     if (target.announcement)
         handover.instance = target.announcement->instance;
     dialect().prepareForTarget(http, handover);
@@ -516,15 +538,12 @@
         return;
     }
     SendOptions options { .deadline = start.deadline, .isIdempotent = start.kind == RequestKind::Idempotent };
-    if (!start.requestId.empty()) {
-        options.isOwnAnswer = [this, requestId = start.requestId](const HttpResponse& response) {
-            auto report = dialect().readTargetAnswer(response);
-            bool isOwn = report.requestId.empty() || report.requestId == requestId;
-            if (!isOwn)
-                m_context.metrics.add("berylport_foreign_answers_total");
-            return isOwn;
-        };
-    }
+    options.ownerOf = [this, tag = dialect().answerTag(handover)](const HttpResponse& response) {
+        auto owner = ownerOf(dialect().readTargetAnswer(response), tag);
+        if (owner == AnswerOwner::Other)
+            m_context.metrics.add("berylport_foreign_answers_total");
+        return owner;
+    };
     target.running[id] = target.client->send(std::move(http), options,
         guarded([this, &target, id](SendResult result) { targetFinished(target, id, std::move(result)); }));
 }
@@ -694,6 +713,7 @@
     forEach([&](LocalTarget& target, AdmissionActions& actions) { target.admission.tick(now, actions); });
     if (now >= m_nextCheck) {
         m_nextCheck = now + checkInterval;
+        learnDepartures();
         checkAnnouncements(now);
         probeTargets(now);
     }
--- a/Source/Node/TargetTask.h
+++ b/Source/Node/TargetTask.h
@@ -72,6 +72,7 @@
     void pauseNoticed(Duration gap);
     void stateChanged(LocalTarget&);
     void publishTargets();
+    void learnDepartures();
     void checkAnnouncements(Instant now);
     void probeTargets(Instant now);
     void probe(LocalTarget&, Instant now);
@@ -88,6 +89,7 @@
     PauseDetector m_pauses;
     MeasureBudget m_budget;
     std::map<ServiceName, std::unique_ptr<LocalTarget>> m_targets;
+    bool m_areDeparturesKnown { false };
     AnnouncementOrder m_order;
     std::vector<LinkId> m_links;
     CataloguePointer m_catalogue;
--- a/StandIns/Target/StandInTarget.cpp
+++ b/StandIns/Target/StandInTarget.cpp
@@ -312,6 +312,9 @@
     answer.mode = work->behaviour.answer;
     answer.headers = { { "Content-Type", "application/json" }, { "X-Request-Tag", work->tag },
         { "X-Request-Method", method }, { "X-Body-Hash", hash }, { "X-Target-Port", std::to_string(endpoint.port) } };
+    // Names the request that the answer belongs to.
+    if (!work->parent.empty())
+        answer.headers.emplace_back("Berylport-Parent", work->parent);
     answer.body = "{\"tag\":" + quoteJson(work->tag) + ",\"method\":" + quoteJson(method)
         + ",\"hash\":" + quoteJson(hash) + ",\"path\":" + quoteJson(path) + ",\"padding\":\""
         + std::string(work->behaviour.padding, 'x') + "\"}\n";
--- a/tests/Http/TargetClientTest.cpp
+++ b/tests/Http/TargetClientTest.cpp
@@ -87,6 +87,14 @@
     std::deque<std::optional<SendResult>> m_results;
 };
 
+AnswerOwner ownerById(const HttpResponse& response)
+{
+    auto id = findHeader(response.headers, "X-Id");
+    if (!id)
+        return AnswerOwner::Unnamed;
+    return id == "mine" ? AnswerOwner::Own : AnswerOwner::Other;
+}
+
 constexpr std::string_view okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
 // Guards against the answer of an earlier request, which a target sends late, being given to the caller of this one.
@@ -94,7 +102,7 @@
 {
     start();
     SendOptions options { .deadline = steadyNow() + longTime };
-    options.isOwnAnswer = [](const HttpResponse& it) { return findHeader(it.headers, "X-Id") == "mine"; };
+    options.ownerOf = ownerById;
     send(request("POST", "/a", "body"), options);
     ASSERT_TRUE(accept());
     ASSERT_TRUE(waitForBytes(m_accepted[0], "body"));
@@ -105,6 +113,116 @@
     EXPECT_EQ(answerOf(0)->body, "ok");
 }
 
+// Guards against a late second copy that does not say whose it is: the next caller on the connection must not get it.
+TEST_F(TargetClientTest, TakesNoUnnamedAnswerOnAConnectionThatWasUsedBefore)
+{
+    start();
+    SendOptions options { .deadline = steadyNow() + longTime, .isIdempotent = true, .ownerOf = ownerById };
+    send(request("GET", "/a"), options);
+    ASSERT_TRUE(accept());
+    ASSERT_TRUE(waitForBytes(m_accepted[0], "\r\n\r\n"));
+    m_accepted[0].send("HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 2\r\n\r\nok");
+    ASSERT_TRUE(waitForResult(0));
+    ASSERT_TRUE(runUntil([&] { return m_client->idleConnectionCount() == 1; }));
+    send(request("GET", "/b"), options);
+    ASSERT_TRUE(waitForBytes(m_accepted[0], "/b"));
+    m_accepted[0].send("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold");
+    ASSERT_TRUE(waitForResult(1));
+    ASSERT_TRUE(std::holds_alternative<Lost>(*m_results[1]));
+    EXPECT_EQ(LossReason::AnswerMalformed, std::get<Lost>(*m_results[1]).reason);
+    EXPECT_EQ(0u, m_client->connectionCount());
+}
+
+// A target that names no requests is served over a connection each, as a late copy could not be told apart.
+TEST_F(TargetClientTest, KeepsNoConnectionOfATargetThatNamesNoRequests)
+{
+    start();
+    SendOptions options { .deadline = steadyNow() + longTime, .isIdempotent = true, .ownerOf = ownerById };
+    send(request("GET", "/a"), options);
+    ASSERT_TRUE(accept());
+    ASSERT_TRUE(waitForBytes(m_accepted[0], "\r\n\r\n"));
+    m_accepted[0].send(okAnswer);
+    ASSERT_TRUE(waitForResult(0));
+    ASSERT_TRUE(answerOf(0));
+    EXPECT_EQ(answerOf(0)->body, "ok");
+    EXPECT_TRUE(runUntil([&] { return m_accepted[0].isAtEnd(); }));
+    EXPECT_EQ(0u, m_client->connectionCount());
+}
+
+// Guards against a target in trouble whose bytes have no end: each form is given up within its bound.
+TEST_F(TargetClientTest, GivesUpOnBytesWithoutEnd)
+{
+    std::string ok = "HTTP/1.1 200 OK\r\n";
+    std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+    struct Case {
+        std::string_view name;
+        std::string begin;
+        std::string repeated;
+        size_t mostBytes;
+    };
+    constexpr size_t head = 16 * 1024;
+    constexpr size_t body = 64 * 1024;
+    std::vector<Case> cases {
+        { "interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n", head },
+        { "answers to others", "", ok + "X-Id: other\r\nContent-Length: 5\r\n\r\nother", head },
+        { "one header line", ok + "X: ", "a", head },
+        { "header lines", ok, "X: a\r\n", head },
+        { "no line at all", "", "a", head },
+        { "body without length", ok + "\r\n", "a", body + head },
+        { "chunk line", chunked, "0", head },
+        { "chunk extension", chunked + "1;", "a", head },
+        { "small chunks", chunked, "1;" + std::string(200, 'x') + "\r\na\r\n", 2 * body + 2 * head },
+        { "trailers", chunked + "0\r\n", "X: a\r\n", head },
+    };
+    start({ .limits = { .headBytes = head, .bodyBytes = body, .allowsCloseDelimited = true } });
+    for (auto& it : cases) {
+        auto index = m_results.size();
+        send(request("GET", "/a"), { .deadline = steadyNow() + longTime, .isIdempotent = true, .ownerOf = ownerById });
+        ASSERT_TRUE(accept()) << it.name;
+        ASSERT_TRUE(waitForBytes(m_accepted.back(), "\r\n\r\n")) << it.name;
+        std::string bytes = it.begin;
+        while (bytes.size() < 1024 * 1024)
+            bytes += it.repeated;
+        std::string_view rest(bytes);
+        // What the node has taken when it gives up is at most what is in flight beyond the bound.
+        ASSERT_TRUE(runUntil([&] {
+            rest.remove_prefix(m_accepted.back().trySend(rest.substr(0, 4096)));
+            return m_results[index].has_value() || rest.empty();
+        })) << it.name;
+        ASSERT_TRUE(m_results[index].has_value()) << it.name;
+        EXPECT_TRUE(std::holds_alternative<Lost>(*m_results[index])) << it.name;
+        EXPECT_LE(bytes.size() - rest.size(), it.mostBytes + 8 * 4096) << it.name;
+        EXPECT_EQ(0u, m_client->connectionCount()) << it.name;
+    }
+}
+
+// An answer without a length is whole when its connection ends in order, and not when it is reset.
+TEST_F(TargetClientTest, TakesAnAnswerThatEndsWithItsConnectionUnlessItIsReset)
+{
+    start({ .limits = { .headBytes = 16 * 1024, .bodyBytes = 1024, .allowsCloseDelimited = true } });
+    for (std::string_view head : { "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\n" }) {
+        auto whole = exchange(std::string(head) + "abc", true);
+        ASSERT_TRUE(std::holds_alternative<HttpResponse>(whole)) << head;
+        EXPECT_EQ(std::get<HttpResponse>(whole).body, "abc");
+        EXPECT_EQ(0u, m_client->connectionCount());
+        auto empty = exchange(head, true);
+        ASSERT_TRUE(std::holds_alternative<HttpResponse>(empty)) << head;
+        EXPECT_EQ(std::get<HttpResponse>(empty).body, "");
+
+        auto index = m_results.size();
+        sendIdempotent("/a");
+        ASSERT_TRUE(accept());
+        ASSERT_TRUE(waitForBytes(m_accepted.back(), "\r\n\r\n"));
+        m_accepted.back().send(std::string(head) + "abc");
+        runFor(std::chrono::milliseconds(20));
+        EXPECT_FALSE(m_results[index].has_value());
+        m_accepted.back().reset();
+        ASSERT_TRUE(waitForResult(index));
+        ASSERT_TRUE(std::holds_alternative<Lost>(*m_results[index])) << head;
+        EXPECT_EQ(LossReason::TargetClosed, std::get<Lost>(*m_results[index]).reason);
+    }
+}
+
 // Guards against a request that is changed on its way, and an answer that is.
 TEST_F(TargetClientTest, SendsTheWholeRequestAndReadsTheWholeAnswer)
 {
