Use a restarted node's target once its row is read and a member has answered

Change: the own row and a first member's answer tell which departures were acknowledged; without the store the node still waits until it agrees with another on the members.

--- a/Source/Node/DirectoryTask.cpp
+++ b/Source/Node/DirectoryTask.cpp
@@ -266,6 +266,7 @@
     }
     Instant now = steadyNow();
     RowsRead found = m_rows.rowsRead(stored, now);
+    m_context.status.isRowRead = true;
     logEvent(Event::SeedsFound,
         { { "seeds", std::to_string(found.others.size()) }, { "complete", m_rows.areOthersKnown() ? "yes" : "no" } });
     if (found.departed) {
--- a/Source/Node/MembershipTask.cpp
+++ b/Source/Node/MembershipTask.cpp
@@ -242,6 +242,7 @@
 void MembershipTask::updateStatus()
 {
     Instant now = steadyNow();
+    m_context.status.hasMetMembers = m_service.hasJoined();
     m_context.status.isDiscoveryDone |= m_service.isSettled(now);
     // The other tasks choose by what they know of the fleet as a whole.
     m_hasChanges
--- a/Source/Node/NodeContext.h
+++ b/Source/Node/NodeContext.h
@@ -21,6 +21,10 @@
     bool isCoordinator { false };
     // This node knows the members as another one does, or knows that there is none.
     bool isDiscoveryDone { false };
+    // A first answer of a member has come; it tells what earlier processes on this VM had acknowledged.
+    bool hasMetMembers { false };
+    // So does the row of this VM in the shared store, which has been read.
+    bool isRowRead { false };
     // Members, and so targets, may be missing.
     bool isViewPartial { true };
     // Nodes that may exist: members and rows at which nobody has answered yet.
--- a/Source/Node/TargetTask.cpp
+++ b/Source/Node/TargetTask.cpp
@@ -485,7 +485,9 @@
 
 void TargetTask::learnDepartures()
 {
-    if (m_areDeparturesKnown || !m_context.status.isDiscoveryDone)
+    const NodeStatus& status = m_context.status;
+    bool isKnown = status.isDiscoveryDone || (status.isRowRead && status.hasMetMembers);
+    if (m_areDeparturesKnown || !isKnown)
         return;
     m_areDeparturesKnown = true;
     for (auto& [service, target] : m_targets) {
@@ -709,11 +711,11 @@
 void TargetTask::wake()
 {
     m_pauses.check();
+    learnDepartures();
     Instant now = steadyNow();
     forEach([&](LocalTarget& target, AdmissionActions& actions) { target.admission.tick(now, actions); });
     if (now >= m_nextCheck) {
         m_nextCheck = now + checkInterval;
-        learnDepartures();
         checkAnnouncements(now);
         probeTargets(now);
     }
