Ask the store less at the first start and while peers tell what it holds

Change: on the first start of the whole system (first_start, from the platform's settings) the row is written without a look before; a row that is there is a conflict, which is read as before. A node that hears its peers' versions polls once a minute instead of four times; without them as often as before.

--- a/Source/Configuration/SourceFollower.cpp
+++ b/Source/Configuration/SourceFollower.cpp
@@ -9,18 +9,31 @@
 void SourceFollower::sourceAnswered(uint64_t position, Instant now, std::vector<FollowerAction>& actions)
 {
     m_failures = 0;
+    m_sourceAnswered = now;
     m_retryAt.reset();
     m_position = std::max(position, m_position.value_or(0));
     if (m_isReader) {
         actions.push_back(FollowSource { .position = *m_position, .wait = m_options.followWait });
         return;
     }
+    pollLater(now);
+}
+
+void SourceFollower::pollLater(Instant now)
+{
     // Three quarters to whole of the time, so that nodes that started together do not ask together.
     m_retryAt = now + m_options.pollInterval * 3 / 4
         + Duration(static_cast<int64_t>(m_random.unit() * static_cast<double>(m_options.pollInterval.count()) / 4));
     m_isWaiting = true;
 }
 
+bool SourceFollower::isPollNeedless(Instant now) const
+{
+    bool isAmongPeers = m_peerHeard && now - *m_peerHeard < m_options.peerMemory;
+    bool isRecent = m_sourceAnswered && now - *m_sourceAnswered < m_options.pollIntervalAmongPeers;
+    return !m_isReader && m_isWaiting && isAmongPeers && isRecent;
+}
+
 void SourceFollower::setReader(bool isReader, Instant now)
 {
     if (isReader && !m_isReader && m_isWaiting)
@@ -47,6 +60,9 @@
 
 void SourceFollower::peerHolds(NodeId node, uint64_t version, Instant now, std::vector<FollowerAction>& actions)
 {
+    // A peer without a configuration knows nothing of the source.
+    if (version)
+        m_peerHeard = now;
     bool isWaiting = m_isFetching && now < m_fetchDeadline;
     if (version <= m_version || isWaiting)
         return;
@@ -69,8 +85,15 @@
 {
     if (!m_retryAt || now < *m_retryAt)
         return;
+    if (isPollNeedless(now)) {
+        pollLater(now);
+        return;
+    }
     m_retryAt.reset();
     m_isWaiting = false;
+    // The history may be gone by then; the document as a whole costs one call as well.
+    if (m_sourceAnswered && now - *m_sourceAnswered > 2 * m_options.pollInterval)
+        m_position.reset();
     if (m_position)
         actions.push_back(
             FollowSource { .position = *m_position, .wait = m_isReader ? m_options.followWait : Duration::zero() });
--- a/Source/Configuration/SourceFollower.h
+++ b/Source/Configuration/SourceFollower.h
@@ -35,9 +35,14 @@
         // How long the source may hold back an answer that says that nothing changed. Each costs one call, and a
         // connection that died unnoticed delays a change by this much at most.
         Duration followWait { std::chrono::seconds(10) };
-        // A node that is no reader hears of new versions from its peers and asks the source this often in case all of
-        // them are cut off. Below the time for which sources keep their history.
+        // A node that is no reader and hears nothing from its peers asks the source this often. Below the time for
+        // which
+        // sources keep their history.
         Duration pollInterval { std::chrono::seconds(15) };
+        // While peers tell it their versions, as a reader among them would have the newest.
+        Duration pollIntervalAmongPeers { std::chrono::minutes(1) };
+        // A peer that was heard of longer ago tells nothing any more.
+        Duration peerMemory { std::chrono::seconds(5) };
         // After a failure the source is asked again after this time, which doubles with each further failure.
         Duration firstRetry { std::chrono::milliseconds(200) };
         // Above it a node that the source serves again would notice too late: changes must be in force 2 s after they
@@ -78,6 +83,9 @@
     std::optional<Instant> nextWake() const { return m_retryAt; }
 
 private:
+    void pollLater(Instant now);
+    bool isPollNeedless(Instant now) const;
+
     Options m_options;
     Random m_random;
     uint64_t m_version { 0 };
@@ -90,6 +98,8 @@
     std::optional<Instant> m_retryAt;
     // One fetch at a time, so that a new version does not cost one for each peer that has it.
     bool m_isFetching { false };
+    std::optional<Instant> m_peerHeard;
+    std::optional<Instant> m_sourceAnswered;
     Instant m_fetchDeadline;
 };
 
--- a/Source/Node/DirectoryTask.cpp
+++ b/Source/Node/DirectoryTask.cpp
@@ -40,7 +40,8 @@
     , m_store(context.adapter.connectStore(context.loop.base(), context.settings, context.seed))
     , m_follower({ .seed = context.seed ^ 0xD1EC7 })
     , m_timer(context.loop, guarded([this] { wake(); }))
-    , m_rows({ .seed = context.seed ^ 0x5EED }, rowKey(context), makeRow(context))
+    , m_rows({ .isFirstStart = context.settings.node.isFirstStart, .seed = context.seed ^ 0x5EED }, rowKey(context),
+          makeRow(context))
 {
 }
 
--- a/Source/Node/RowKeeper.cpp
+++ b/Source/Node/RowKeeper.cpp
@@ -11,6 +11,8 @@
     , m_key(std::move(key))
     , m_row(std::move(self))
 {
+    if (options.isFirstStart)
+        m_storedVersion = 0;
 }
 
 bool RowKeeper::isDurable() const
--- a/Source/Node/RowKeeper.h
+++ b/Source/Node/RowKeeper.h
@@ -55,6 +55,8 @@
         // The first write of a new VM comes within this time, as the rows of a fleet that starts share one part of the
         // store.
         Duration firstWriteSpread { std::chrono::seconds(1) };
+        // There is no row of this VM: it is written without a look before. A row that is there after all is a conflict.
+        bool isFirstStart { false };
         uint64_t seed { 1 };
     };
 
--- a/Source/Settings/NodeSettings.h
+++ b/Source/Settings/NodeSettings.h
@@ -18,6 +18,8 @@
     std::string name {};
     // Service of the target on this VM. Targets of other VMs are told that calls which enter here come from it.
     std::string service {};
+    // The whole system starts for the first time, so the shared store holds no row of this VM yet.
+    bool isFirstStart { false };
 };
 
 struct ListenSection {
--- a/Source/Settings/SettingsSchema.cpp
+++ b/Source/Settings/SettingsSchema.cpp
@@ -237,6 +237,8 @@
         Field { &S::node, &NodeSection::name }));
     list.push_back(text({ "node", "service", "service of the target on this VM" }, "any text",
         Field { &S::node, &NodeSection::service }));
+    list.push_back(flag({ "node", "first_start", "the whole system starts for the first time" },
+        Field { &S::node, &NodeSection::isFirstStart }));
     list.push_back(endpoint({ "listen", "caller", "callers' HTTP" }, Field { &S::listen, &L::caller }));
     list.push_back(endpoint({ "listen", "local", "announcements of targets on this VM, and the measures page" },
         Field { &S::listen, &L::local }));
--- a/tests/Configuration/SourceFollowerTest.cpp
+++ b/tests/Configuration/SourceFollowerTest.cpp
@@ -106,6 +106,34 @@
     EXPECT_GT(take<FollowSource>().at(0).wait, Duration::zero());
 }
 
+// At 195 nodes the rare questions of all were as dear as everything else that the store was asked.
+TEST_F(SourceFollowerTest, ANodeThatHearsItsPeersAsksOnceAMinute)
+{
+    m_follower.setReader(false, m_now);
+    m_follower.adopt(7);
+    m_follower.sourceAnswered(40, m_now, m_actions);
+    int asked = 0;
+    auto passMinutes = [&](int minutes, bool hearsPeers) {
+        for (Duration passed {}; passed < minutes * 60s; passed += 100ms) {
+            if (hearsPeers)
+                m_follower.peerHolds(NodeId { 1 }, 7, m_now, m_actions);
+            advance(100ms);
+            if (!take<ReadSource>().empty()) {
+                ++asked;
+                m_follower.sourceAnswered(40, m_now, m_actions);
+            }
+        }
+    };
+    passMinutes(5, true);
+    EXPECT_GE(asked, 3);
+    EXPECT_LE(asked, 5);
+    // The peers fall silent: it asks as often as a node that never heard any.
+    Instant silentSince = m_now;
+    while (take<ReadSource>().empty() && m_now - silentSince < 60s)
+        advance(100ms);
+    EXPECT_LE(m_now - silentSince, 16s);
+}
+
 TEST_F(SourceFollowerTest, VersionsNeverGoBack)
 {
     EXPECT_TRUE(m_follower.adopt(7));
--- a/tests/Settings/SettingsFileTest.cpp
+++ b/tests/Settings/SettingsFileTest.cpp
@@ -41,6 +41,8 @@
         for (size_t at = filled.find(placeholder); at != std::string::npos; at = filled.find(placeholder))
             filled.replace(at, placeholder.size(), value);
     }
+    std::string flag = "{{#bootstrap}}yes{{/bootstrap}}{{^bootstrap}}no{{/bootstrap}}";
+    filled.replace(filled.find(flag), flag.size(), "yes");
     EXPECT_EQ(filled.find("{{"), std::string::npos) << filled;
     return filled;
 }
