Keep the outcome of every failed request in an overloaded node's log

Change: lines have ranks. Details share the old rate and three quarters of the buffer; the one line that ends a request that was not served has a rate of its own and carries what became of each attempt (history), the members known and whether some may be missing.

--- a/Source/Log/EventCatalogue.cpp
+++ b/Source/Log/EventCatalogue.cpp
@@ -181,4 +181,9 @@
 
 std::string toText(Event event) { return "BP-" + std::to_string(static_cast<uint16_t>(event)); }
 
+bool isOutcome(Event event)
+{
+    return event == Event::CallGivenUp || event == Event::CallOutcomeUnknown || event == Event::RequestRejected;
+}
+
 } // namespace Berylport
--- a/Source/Log/EventCatalogue.h
+++ b/Source/Log/EventCatalogue.h
@@ -122,6 +122,8 @@
 };
 
 std::span<const EventInfo> eventCatalogue();
+// The event ends a request that was not served; it holds all that was decided about it.
+bool isOutcome(Event);
 const EventInfo& describe(Event);
 Channel channelOf(Event);
 
--- a/Source/Log/Log.cpp
+++ b/Source/Log/Log.cpp
@@ -16,6 +16,8 @@
 
 bool isStarted = false;
 Level threshold = Level::Info;
+// Of the event that is being written; the library passes only the text on.
+LineRank currentRank = LineRank::Detail;
 
 LogOutput& output(size_t gather = 0)
 {
@@ -32,8 +34,7 @@
             return;
         auto* message = data->logMessage();
         auto line = message->logger()->logBuilder()->build(message, true);
-        bool isImportant = message->level() == el::Level::Warning || message->level() == el::Level::Error;
-        output().append(line, isImportant, steadyNow());
+        output().append(line, currentRank, steadyNow());
     }
 };
 
@@ -137,6 +138,8 @@
     const EventInfo& info = describe(event);
     if (!isStarted || info.level < threshold)
         return;
+    bool isImportant = info.level == Level::Warning || info.level == Level::Error;
+    currentRank = isImportant ? LineRank::Important : isOutcome(event) ? LineRank::Outcome : LineRank::Detail;
     el::Logger* logger = el::Loggers::getLogger(std::string(toText(channelOf(event))));
     writeLine(logger, info.level, formatEvent(event, fields));
 }
--- a/Source/Log/LogOutput.cpp
+++ b/Source/Log/LogOutput.cpp
@@ -22,21 +22,35 @@
 
 } // namespace
 
-bool LogOutput::takeToken(Instant now)
+bool LogOutput::takeToken(Bucket& bucket, double perSecond, double burst, Instant now)
 {
-    double seconds = std::chrono::duration<double>(now - m_refilledAt).count();
-    m_tokens = std::min(m_options.burstLines, m_tokens + seconds * m_options.linesPerSecond);
-    m_refilledAt = now;
-    if (m_tokens < 1)
+    double seconds = std::chrono::duration<double>(now - bucket.refilledAt).count();
+    bucket.tokens = std::min(burst, bucket.tokens + seconds * perSecond);
+    bucket.refilledAt = now;
+    if (bucket.tokens < 1)
         return false;
-    m_tokens -= 1;
+    bucket.tokens -= 1;
     return true;
 }
 
-bool LogOutput::append(std::string_view line, bool isImportant, Instant now)
+bool LogOutput::hasRoomInRate(LineRank rank, Instant now)
 {
-    bool hasToken = takeToken(now) || isImportant;
-    if (!hasToken || m_buffer.size() + line.size() > m_options.bufferBytes) {
+    switch (rank) {
+    case LineRank::Detail:
+        return takeToken(m_details, m_options.linesPerSecond, m_options.burstLines, now);
+    case LineRank::Outcome:
+        return takeToken(m_outcomes, m_options.outcomesPerSecond, m_options.burstOutcomes, now);
+    case LineRank::Important:
+        return true;
+    }
+    return true;
+}
+
+bool LogOutput::append(std::string_view line, LineRank rank, Instant now)
+{
+    // Details leave a quarter of the buffer to the lines that matter more.
+    size_t room = rank == LineRank::Detail ? m_options.bufferBytes / 4 * 3 : m_options.bufferBytes;
+    if (!hasRoomInRate(rank, now) || m_buffer.size() + line.size() > room) {
         ++m_dropped;
         return false;
     }
--- a/Source/Node/EntryTask.cpp
+++ b/Source/Node/EntryTask.cpp
@@ -272,9 +272,24 @@
 
 // --- messages
 
+void EntryTask::noteAttemptEnd(const AttemptId& id, std::string_view outcome)
+{
+    auto it = m_callers.find(id.call);
+    if (it == m_callers.end())
+        return;
+    std::string& attempts = it->second.attempts;
+    attempts += (attempts.empty() ? "" : " ") + std::to_string(id.attempt) + ":" + std::string(outcome) + "@"
+        + std::to_string(toMilliseconds(steadyNow() - it->second.arrived));
+}
+
 void EntryTask::handle(AttemptReplied&& message)
 {
-    m_attemptSpans.erase(std::visit([](auto& it) { return it.id; }, message.reply));
+    AttemptId id = std::visit([](auto& it) { return it.id; }, message.reply);
+    m_attemptSpans.erase(id);
+    if (auto* refused = std::get_if<CallRefused>(&message.reply))
+        noteAttemptEnd(id, toText(refused->reason));
+    else if (auto* lost = std::get_if<CallLost>(&message.reply))
+        noteAttemptEnd(id, toText(lost->reason));
     CallActions actions;
     m_coordinator.replyArrived(message.reply, steadyNow(), actions);
     perform(actions);
@@ -283,6 +298,7 @@
 void EntryTask::handle(AttemptNotSent&& message)
 {
     m_attemptSpans.erase(message.id);
+    noteAttemptEnd(message.id, "not-sent");
     CallActions actions;
     m_coordinator.sendFailed(message.id, steadyNow(), actions);
     perform(actions);
@@ -479,7 +495,7 @@
             { "route", caller.route }, { "outcome", std::string(toText(answer.outcome)) },
             { "reason", std::string(toText(std::get<CallFailure>(answer.result))) },
             { "refusal", answer.refusal ? std::string(toText(*answer.refusal)) : "none" },
-            { "members", std::to_string(m_context.status.members.size()) },
+            { "history", caller.attempts }, { "members", std::to_string(m_context.status.members.size()) },
             { "members_complete", m_context.status.isViewPartial ? "no" : "yes" },
             { "attempts", std::to_string(answer.attempts) }, { "elapsed_ms", elapsed },
             { "retry_after_ms", std::to_string(toMilliseconds(answer.retryAfter)) } });
--- a/Source/Node/EntryTask.h
+++ b/Source/Node/EntryTask.h
@@ -39,6 +39,8 @@
         std::string requestId;
         std::optional<CallId> parent;
         uint32_t tokensFromParent { 0 };
+        // What became of each attempt, for the log line of a call that fails.
+        std::string attempts;
     };
     // A nested call that waits for what its parent allows it.
     struct WaitingChild {
@@ -81,6 +83,7 @@
     void sendToOwnTarget(CallRequest);
     void refuse(const Responder&, std::string_view requestId, EntryRefusal);
     void logAttempt(const SendAttempt&);
+    void noteAttemptEnd(const AttemptId&, std::string_view outcome);
     void logAnswer(const AnswerCaller&, const Caller&, Instant now);
     void wake();
     void updateStatus();
