--- a/StandIns/Target/StandInTarget.cpp
+++ b/StandIns/Target/StandInTarget.cpp
@@ -314,7 +314,7 @@
         { "X-Request-Method", method }, { "X-Body-Hash", hash }, { "X-Target-Port", std::to_string(endpoint.port) } };
     // Names the request that the answer belongs to.
     if (!work->parent.empty())
-        answer.headers.emplace_back("Berylport-Parent", work->parent);
+        answer.headers.push_back({ "Berylport-Parent", work->parent });
     answer.body = "{\"tag\":" + quoteJson(work->tag) + ",\"method\":" + quoteJson(method)
         + ",\"hash\":" + quoteJson(hash) + ",\"path\":" + quoteJson(path) + ",\"padding\":\""
         + std::string(work->behaviour.padding, 'x') + "\"}\n";
