--- a/tests/Http/HttpServerTest.cpp
+++ b/tests/Http/HttpServerTest.cpp
@@ -292,6 +292,49 @@
     EXPECT_EQ(size_t(count), m_received.size());
 }
 
+// Callers send again what they had sent behind an answer that closes the connection, so none of it may be run.
+TEST_F(HttpServerTest, PassesOnNothingBehindAnAnswerThatClosesTheConnection)
+{
+    m_isAnswering = false;
+    start();
+    auto byCaller = connect();
+    byCaller.send("GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+                  "POST /behind HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx");
+    ASSERT_TRUE(runUntil([&] { return m_received.size() == 1; }));
+    answerWith("<a>");
+    ASSERT_TRUE(waitForEnd(byCaller));
+    EXPECT_TRUE(contains(byCaller.received(), "<a>"));
+
+    auto byStop = connect();
+    byStop.send("GET /b HTTP/1.1\r\nHost: a\r\n\r\n"
+                "POST /behind HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx");
+    ASSERT_TRUE(runUntil([&] { return m_received.size() == 2; }));
+    runFor(std::chrono::milliseconds(5));
+    m_server->stopListening();
+    m_server->closeAfterAnswers();
+    answerWith("<b>");
+    ASSERT_TRUE(waitForEnd(byStop));
+    EXPECT_TRUE(contains(byStop.received(), "<b>"));
+    runFor(std::chrono::milliseconds(5));
+    EXPECT_EQ(m_received.size(), 2u);
+}
+
+// A caller that leaves with requests in line: the first is cancelled, the others never begin.
+TEST_F(HttpServerTest, PassesOnNothingOfACallerThatHasGone)
+{
+    m_isAnswering = false;
+    start();
+    auto socket = connect();
+    socket.send("GET /a HTTP/1.1\r\nHost: a\r\n\r\nGET /b HTTP/1.1\r\nHost: a\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return m_received.size() == 1; }));
+    bool isGone = false;
+    m_received[0].responder.onCallerGone([&] { isGone = true; });
+    socket.reset();
+    ASSERT_TRUE(runUntil([&] { return isGone; }));
+    runFor(std::chrono::milliseconds(5));
+    EXPECT_EQ(m_received.size(), 1u);
+}
+
 // Guards against a second answer being taken for the answer to the next request.
 TEST_F(HttpServerTest, OnlyTheFirstAnswerCounts)
 {
