--- a/Source/Membership/MembershipService.cpp
+++ b/Source/Membership/MembershipService.cpp
@@ -13,6 +13,9 @@
 // Seeds asked at once; a long list must not make the start of many nodes a burst.
 constexpr size_t seedsAskedAtOnce = 3;
 
+// A node may be settled while one row in this many has not been answered.
+constexpr size_t maximumUnmetPart = 4;
+
 // Records of earlier processes that a new process on their VM is told of at once.
 constexpr size_t maximumPredecessors = 2;
 
@@ -41,6 +44,7 @@
     , m_contact(options.contact)
     , m_random(seed)
     , m_lostPeers(options.lostPeers, m_table.self().gossip)
+    , m_startedAt(now)
     , m_nextDigest(now + options.digestInterval)
     , m_nextExpiry(now + expiryInterval)
 {
@@ -48,15 +52,12 @@
 
 // --- joining and leaving
 
-void MembershipService::join(std::span<const Endpoint> seeds, Instant now, MembershipActions& actions)
+void MembershipService::join(std::span<const Endpoint> seeds, Instant, MembershipActions& actions)
 {
     std::vector<Endpoint> unmet(seeds.begin(), seeds.end());
     std::erase_if(unmet, [&](auto& it) { return isHeldByPresent(it); });
     m_lostPeers.setRows(unmet);
-    if (m_joinStarted == Instant {}) {
-        m_joinStarted = now;
-        m_isCatchingUp = !m_hasJoined;
-    }
+    m_hasSeeds = true;
     for (auto& it : m_lostPeers.choose(seedsAskedAtOnce, m_random))
         ask(it, actions);
 }
@@ -64,6 +65,7 @@
 void MembershipService::joinAsFirst(Instant now)
 {
     m_hasJoined = true;
+    m_hasSeeds = true;
     m_isCatchingUp = false;
     m_joinedAt = m_joinedAt.value_or(now);
 }
@@ -96,12 +98,18 @@
 
 bool MembershipService::isSettled(Instant now) const
 {
-    return m_hasJoined && (!m_isCatchingUp || (m_joinedAt && now - *m_joinedAt >= m_options.settleLimit));
+    if (!m_hasJoined)
+        return false;
+    // Two nodes that start together agree on little at first; the rows tell how many others there may be. Some of these
+    // are gone for good.
+    bool areMostMet = m_hasSeeds && m_lostPeers.unmetRows() * maximumUnmetPart <= knownNodes();
+    bool isInAgreement = areMostMet && !m_isCatchingUp;
+    return isInAgreement || now - m_joinedAt.value_or(now) >= m_options.settleLimit;
 }
 
 bool MembershipService::isViewPartial(Instant now) const
 {
-    bool hasUnmetRows = m_lostPeers.unmetRows() && now - m_joinStarted < m_options.unmetLimit;
+    bool hasUnmetRows = m_lostPeers.unmetRows() && now - m_startedAt < m_options.unmetLimit;
     return !m_hasJoined || m_isCatchingUp || m_isBehind || hasUnmetRows || m_contact.isCutOff();
 }
 
@@ -109,7 +117,7 @@
 {
     if (!m_isCatchingUp || !m_hasJoined || now < m_nextJoin)
         return;
-    if (now - m_joinStarted >= m_options.joinLimit) {
+    if (now - m_joinedAt.value_or(now) >= m_options.joinLimit) {
         m_isCatchingUp = false;
         return;
     }
--- a/Source/Membership/MembershipService.h
+++ b/Source/Membership/MembershipService.h
@@ -185,9 +185,11 @@
     LostPeers m_lostPeers;
     // A message of another node has arrived, or there is no other node.
     bool m_hasJoined { false };
-    // The own digest differed from a peer's shortly after the start.
-    bool m_isCatchingUp { false };
-    Instant m_joinStarted;
+    // The addresses of others, or that there are none, are known from rows or settings.
+    bool m_hasSeeds { false };
+    // Since the start no peer's digest has agreed with the own one, whoever of the two spoke first.
+    bool m_isCatchingUp { true };
+    Instant m_startedAt;
     // When the first message of another node arrived.
     std::optional<Instant> m_joinedAt;
     Instant m_nextJoin;
--- a/tests/Node/FleetStartTest.cpp
+++ b/tests/Node/FleetStartTest.cpp
@@ -142,6 +142,35 @@
     }
 }
 
+// A node that others asked first was ready with one member: nobody had told it that it still had to catch up.
+TEST(FleetStart, ANodeIsSettledOnlyWhenItKnowsWhatAnotherKnows)
+{
+    size_t early = 0;
+    size_t settled = 0;
+    for (uint64_t seed = 1; seed <= 100; ++seed) {
+        FleetWorld world(seed);
+        constexpr size_t count = 12;
+        startAll(world, count, 300ms);
+        world.run(5s);
+        killAll(world, count);
+        // Reading the rows takes longer than hearing of the others.
+        world.storeDelay = 400ms;
+        startAll(world, count, 300ms);
+        std::set<size_t> seen;
+        for (int n = 0; n < 600; ++n) {
+            world.run(5ms);
+            for (size_t vm = 0; vm < count; ++vm) {
+                bool isNew = world.service(vm).isSettled(world.now()) && seen.insert(vm).second;
+                settled += isNew;
+                // Half of the fleet at least; the rest may start at this moment.
+                early += isNew && world.service(vm).table().presentCount() + 1 < count / 2;
+            }
+        }
+    }
+    EXPECT_EQ(settled, 1200u);
+    EXPECT_EQ(early, 0u);
+}
+
 // A target that has left must not be used again after a restart, although the store never heard of it.
 TEST(FleetStart, MembersRememberAnAcknowledgedDeparture)
 {
