--- a/Source/Node/CallerAnswers.cpp
+++ b/Source/Node/CallerAnswers.cpp
@@ -29,6 +29,7 @@
     case EntryRefusal::Unconfirmed:
     case EntryRefusal::Isolated:
     case EntryRefusal::PatientUnavailable:
+    case EntryRefusal::Stopping:
         return 503;
     }
     return 500;
@@ -101,6 +102,8 @@
         return "isolated";
     case EntryRefusal::PatientUnavailable:
         return "patient-unavailable";
+    case EntryRefusal::Stopping:
+        return "stopping";
     }
     return "unknown";
 }
--- a/Source/Node/CallerAnswers.h
+++ b/Source/Node/CallerAnswers.h
@@ -42,6 +42,8 @@
     Unconfirmed,
     Isolated,
     PatientUnavailable,
+    // The process ends before the request could be answered.
+    Stopping,
 };
 
 std::string_view toText(EntryRefusal);
--- a/Source/Node/EntryTask.cpp
+++ b/Source/Node/EntryTask.cpp
@@ -3,6 +3,7 @@
 
 #include "Log/Log.h"
 #include "Membership/Membership.h"
+#include "Node/ShutdownWindow.h"
 #include "Trace/Trace.h"
 
 #include <algorithm>
@@ -153,6 +154,12 @@
         refuse(responder, requestId, treatment.error());
         return;
     }
+    const Treatment& treated = treatment.value();
+    Duration timeout = std::min(treated.definition.callerWait, caller.value().timeout.value_or(Duration::max()));
+    if (!treated.isNested && !mayBegin(m_context.status.processEnds, steadyNow(), treated.objective, timeout)) {
+        refuse(responder, requestId, EntryRefusal::Stopping);
+        return;
+    }
     if (treatment.value().definition.kind != RequestKind::Patient) {
         startCall(caller.value(), treatment.value(), std::move(request), std::move(responder));
         return;
@@ -188,7 +195,9 @@
         .priority = priorityOfRank(rank),
         .callerWait = route->timeout,
         .retryTokens = std::clamp<uint32_t>(route->maximumAttempts, 1, maximumAttempts) - 1 };
-    return Treatment { .definition = std::move(definition), .objective = objective, .route = route->name };
+    return Treatment {
+        .definition = std::move(definition), .objective = objective, .route = route->name, .isNested = isNested
+    };
 }
 
 void EntryTask::startCall(
--- a/Source/Node/EntryTask.h
+++ b/Source/Node/EntryTask.h
@@ -53,6 +53,8 @@
         ServiceDefinition definition;
         Duration objective {};
         std::string route;
+        // Work that has begun elsewhere waits for it.
+        bool isNested { false };
     };
 
     const Dialect& dialect() const { return *m_context.adapter.dialect; }
--- a/Source/Node/NodeContext.h
+++ b/Source/Node/NodeContext.h
@@ -17,6 +17,8 @@
 struct NodeStatus {
     GuardState guard { GuardState::Unconfirmed };
     bool isDraining { false };
+    // When a shutdown that has begun ends the process, whatever still runs; nothing while it waits for all.
+    std::optional<Instant> processEnds;
     bool isStoreReachable { false };
     bool isCoordinator { false };
     // This node knows the members as another one does, or knows that there is none.
--- a/Source/Node/NodeDaemon.cpp
+++ b/Source/Node/NodeDaemon.cpp
@@ -180,8 +180,10 @@
         const ShutdownSection& shutdown = m_settings.shutdown;
         m_drainStart = steadyNow();
         m_drainDeadline = m_drainStart + shutdown.drainLimit;
-        if (shutdown.killTime > killMargin)
+        if (shutdown.killTime > killMargin) {
             m_drainDeadline = std::min(m_drainDeadline, m_drainStart + shutdown.killTime - killMargin);
+            m_context.status.processEnds = m_drainDeadline;
+        }
         logEvent(Event::NodeDraining,
             { { "entry_calls", std::to_string(m_context.status.entryCalls) },
                 { "admitted_calls", std::to_string(m_context.status.admittedCalls) } });
