Probe a target again that was replaced while a probe was running

A target that was replaced by another process during a health or load probe was never probed again by its node: its standing and the slowness of its VM stayed as they were. TargetClient drops the results of outstanding requests when it is destroyed, so the callback that clears isProbing never ran. The flag is cleared where the client is replaced.

Found by reading while a probe at each start of a target was planned. LocalTargetTest.AReplacedTargetIsProbedAgain fails without the line (isProbing true, expected false) and passes with it.

--- a/Source/Node/LocalTarget.cpp
+++ b/Source/Node/LocalTarget.cpp
@@ -41,6 +41,7 @@
         .connectTime = settings.connectTimeout,
         .maxConnections = settings.maximumConnections };
     client = std::make_unique<TargetClient>(base, endpoint, options);
+    isProbing = false;
 }
 
 TargetState LocalTarget::effectiveState() const
--- a/Source/Node/LocalTarget.h
+++ b/Source/Node/LocalTarget.h
@@ -46,6 +46,7 @@
     LocalTarget(event_base*, NodeId self, const ServiceName&, const TargetSection&, Instant now);
 
     // Creates the client for the address of the target; called when the address is first known and when it changes.
+    // Results of requests to the previous process are dropped.
     void connect(const Endpoint&, bool allowsCloseDelimitedAnswers);
     // Ready only if the target has announced so, is not drained by an operator, and its announcement has not expired.
     TargetState effectiveState() const;
