Show the request limit that a target names

The dialects read it now (Berylport-Request-Limit in the native one), and a change is logged beside the target (target-limit-changed, target-limit-malformed) and shown by the measure berylport_request_limit. An answer of another server (421, or another instance on the health path) says nothing about the target that was meant. RequestLimiter holds the limit and does the accounting of a token bucket; nothing uses that to pace starts yet.

--- a/Source/Admission/AdmissionController.cpp
+++ b/Source/Admission/AdmissionController.cpp
@@ -484,6 +484,15 @@
     m_slownessPercent = load.slownessPercent;
 }
 
+bool AdmissionController::recordRequestLimit(
+    Instant now, std::optional<double> limit, Instant sentAt, AdmissionActions& actions)
+{
+    bool isChanged = m_limiter.recordAnswer(limit, sentAt, now);
+    if (isChanged)
+        tick(now, actions);
+    return isChanged;
+}
+
 void AdmissionController::refuse(Instant now, LedgerEntry& entry, RefusalReason reason, AdmissionActions& actions)
 {
     for (auto& it : m_ledger.refuse(now, entry, reason))
--- a/Source/Admission/AdmissionController.h
+++ b/Source/Admission/AdmissionController.h
@@ -7,6 +7,7 @@
 #include "Admission/ConcurrencyLimit.h"
 #include "Admission/LoadIntegrator.h"
 #include "Admission/PauseGate.h"
+#include "Admission/RequestLimiter.h"
 #include "Admission/ServiceTimeEstimator.h"
 #include "Admission/TenantTable.h"
 #include "Base/Base.h"
@@ -65,6 +66,12 @@
     // Sets the end of the warm-up that the target itself announces.
     void setWarmUpEnd(Instant until) { m_warmUntil = until; }
     void recordReportedLoad(Instant now, const ReportedLoad&);
+    // The target named this limit of requests per second, or none, in its answer to a request sent at the given time.
+    // Returns whether the limit changed.
+    bool recordRequestLimit(Instant now, std::optional<double> limit, Instant sentAt, AdmissionActions&);
+    // The target is another process, which has named no limit yet.
+    void resetRequestLimit() { m_limiter.reset(); }
+    const RequestLimiter& requestLimiter() const { return m_limiter; }
     // The node shuts down: new calls are refused from now on, regardless of the target's state.
     void drain(Instant now, AdmissionActions&);
     // While the node's configuration may be older than an accepted one, new calls are refused; admitted calls continue.
@@ -176,6 +183,7 @@
     // Every running attempt.
     std::unordered_map<AttemptId, RunningCall> m_runningCalls;
     PauseGate m_pauseGate;
+    RequestLimiter m_limiter;
     CallLedger m_ledger;
 };
 
--- a/Source/Log/EventCatalogue.h
+++ b/Source/Log/EventCatalogue.h
@@ -53,6 +53,8 @@
     ReadinessChanged = 115,
     SettingsReloaded = 116,
     LogLinesDropped = 117,
+    TargetLimitChanged = 118,
+    TargetLimitMalformed = 119,
 
     RequestRejected = 201,
     CallerConnectionLimit = 202,
--- a/Source/Node/CallerAnswers.h
+++ b/Source/Node/CallerAnswers.h
@@ -26,6 +26,7 @@
 // In responses of targets.
 constexpr std::string_view notRun = "Berylport-Not-Run";
 constexpr std::string_view load = "Berylport-Load";
+constexpr std::string_view requestLimit = "Berylport-Request-Limit";
 // Request id chosen by the caller.
 constexpr std::string_view requestId = "Berylport-Request-Id";
 } // namespace Header
--- a/Source/Node/Dialect.h
+++ b/Source/Node/Dialect.h
@@ -33,10 +33,18 @@
     // Equals answerTag() of the request that the response belongs to; empty if the response carries no tag.
     std::string answerTag;
     std::optional<ReportedLoad> load;
+    // Requests per second that the target takes from all nodes together; empty if it names no limit.
+    std::optional<double> requestLimit {};
+    // The target named a limit that cannot be read.
+    bool isRequestLimitMalformed { false };
+    // Instance id of the target that answered; empty if the response does not name it.
+    std::string instance {};
 };
 
 // Parses "running,waiting,slots" with the slowness of the VM in percent as an optional fourth number.
 std::optional<ReportedLoad> parseReportedLoad(std::string_view);
+// Sets the request limit of the report from a decimal number of at least zero.
+void readRequestLimit(TargetReport&, std::string_view text);
 
 // The target is shutting down and must receive no new calls.
 struct TargetWithdrawal {
--- a/Source/Node/LocalTarget.h
+++ b/Source/Node/LocalTarget.h
@@ -71,7 +71,13 @@
     // Time of the newest call that arrived for the target, and of the newest report of its load.
     Instant lastOfferAt;
     Instant lastLoadReportAt;
-    std::unordered_map<AttemptId, SendHandle> running;
+    struct RunningRequest {
+        SendHandle handle;
+        Instant sentAt;
+    };
+    std::unordered_map<AttemptId, RunningRequest> running;
+    // Whether its latest answer named a request limit that cannot be read.
+    bool isLimitMalformed { false };
     // Number that admission assigned to the last process pause.
     uint64_t pauseNumber { 0 };
     // Version of the state in the membership records; incremented with each change.
--- a/Source/Node/NativeDialect.cpp
+++ b/Source/Node/NativeDialect.cpp
@@ -2,6 +2,7 @@
 #include "Node/NativeDialect.h"
 
 #include <charconv>
+#include <cmath>
 
 namespace Berylport {
 
@@ -31,6 +32,17 @@
     return hasAllNeeded ? std::optional(load) : std::nullopt;
 }
 
+void readRequestLimit(TargetReport& report, std::string_view text)
+{
+    double limit = 0;
+    auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), limit, std::chars_format::fixed);
+    bool isRead = ec == std::errc() && end == text.data() + text.size() && std::isfinite(limit) && limit >= 0;
+    if (isRead)
+        report.requestLimit = limit;
+    else
+        report.isRequestLimitMalformed = true;
+}
+
 Result<CallerRequest, EntryRefusal> NativeDialect::readCaller(const HttpRequest& request) const
 {
     return readCallerRequest(request);
@@ -51,6 +63,8 @@
     report.answerTag = findHeader(response.headers, Header::parent).value_or(std::string_view());
     if (auto load = findHeader(response.headers, Header::load))
         report.load = parseReportedLoad(*load);
+    if (auto limit = findHeader(response.headers, Header::requestLimit))
+        readRequestLimit(report, *limit);
     return report;
 }
 
--- a/Source/Node/TargetTask.cpp
+++ b/Source/Node/TargetTask.cpp
@@ -447,6 +447,7 @@
     if (isOtherProcess) {
         failRunning(target, LossReason::TargetClosed);
         target.connect(announcement.endpoint, dialect().allowsCloseDelimitedAnswers());
+        target.admission.resetRequestLimit();
         target.admission.setWarmUpEnd(now + announcement.coldFor);
     }
     if (hasOtherSlots) {
@@ -546,8 +547,10 @@
             m_context.metrics.add("berylport_foreign_answers_total");
         return owner;
     };
-    target.running[id] = target.client->send(std::move(http), options,
-        guarded([this, &target, id](SendResult result) { targetFinished(target, id, std::move(result)); }));
+    target.running[id]
+        = { .handle = target.client->send(std::move(http), options,
+                guarded([this, &target, id](SendResult result) { targetFinished(target, id, std::move(result)); })),
+              .sentAt = now };
 }
 
 void TargetTask::perform(LocalTarget& target, CancelOnTarget&& cancel)
@@ -555,7 +558,7 @@
     auto it = target.running.find(cancel.id);
     if (it == target.running.end())
         return;
-    bool hasNotLeft = it->second.cancel();
+    bool hasNotLeft = it->second.handle.cancel();
     SendResult result = Lost { .reason = LossReason::TargetClosed };
     if (hasNotLeft)
         result = NotSent {};
@@ -596,13 +599,14 @@
 void TargetTask::targetFinished(LocalTarget& target, const AttemptId& id, SendResult result)
 {
     Instant now = steadyNow();
+    auto running = target.running.find(id);
+    Instant sentAt = running == target.running.end() ? now : running->second.sentAt;
     target.running.erase(id);
     AdmissionActions actions;
     logTargetAnswer(target, id, result);
     if (auto* response = std::get_if<HttpResponse>(&result)) {
         m_budget.noteCallBytes(bytesOf(*response), now);
-        recordReportedLoad(target, *response, now);
-        if (dialect().readTargetAnswer(*response).hasNotRun) {
+        if (recordReport(target, *response, sentAt, now).hasNotRun) {
             target.admission.targetRefused(now, id, actions);
             perform(target, actions);
             updateStatus();
@@ -643,8 +647,8 @@
 void TargetTask::failRunning(LocalTarget& target, LossReason reason)
 {
     auto running = std::exchange(target.running, {});
-    for (auto& [id, handle] : running) {
-        bool hasNotLeft = handle.cancel();
+    for (auto& [id, request] : running) {
+        bool hasNotLeft = request.handle.cancel();
         SendResult result = Lost { .reason = reason };
         if (hasNotLeft)
             result = NotSent { .reason = NotSentReason::PoolFull };
@@ -670,13 +674,41 @@
     }
 }
 
-void TargetTask::recordReportedLoad(LocalTarget& target, const HttpResponse& response, Instant now)
+TargetReport TargetTask::recordReport(LocalTarget& target, const HttpResponse& response, Instant sentAt, Instant now)
 {
     auto report = dialect().readTargetAnswer(response);
-    if (!report.load)
+    bool isFromOther = !report.instance.empty() && target.announcement && !target.announcement->instance.empty()
+        && report.instance != target.announcement->instance;
+    if (isFromOther)
+        return report;
+    if (report.load) {
+        target.lastLoadReportAt = now;
+        target.admission.recordReportedLoad(now, *report.load);
+    }
+    recordRequestLimit(target, report, sentAt, now);
+    return report;
+}
+
+void TargetTask::recordRequestLimit(LocalTarget& target, const TargetReport& report, Instant sentAt, Instant now)
+{
+    bool wasMalformed = std::exchange(target.isLimitMalformed, report.isRequestLimitMalformed);
+    if (report.isRequestLimitMalformed) {
+        if (!wasMalformed)
+            logEvent(Event::TargetLimitMalformed, { { "service", target.service.text } });
         return;
-    target.lastLoadReportAt = now;
-    target.admission.recordReportedLoad(now, *report.load);
+    }
+    AdmissionActions actions;
+    if (target.admission.recordRequestLimit(now, report.requestLimit, sentAt, actions)) {
+        std::string limit = report.requestLimit ? std::to_string(*report.requestLimit) : "none";
+        logEvent(Event::TargetLimitChanged,
+            { { "service", target.service.text },
+                { "instance", target.announcement ? target.announcement->instance : std::string() },
+                { "requests_per_second", limit } });
+        m_context.metrics.set(
+            { .name = "berylport_request_limit", .labelName = "service", .labelValue = target.service.text },
+            report.requestLimit.value_or(0));
+    }
+    perform(target, actions);
 }
 
 std::optional<Instant> TargetTask::nextLoadRead(const LocalTarget& target, Instant now) const
@@ -695,14 +727,14 @@
     m_context.metrics.add("berylport_measuring_bytes_total", probeBytes);
     HttpRequest request { .method = "GET", .target = target.healthPath };
     target.client->send(std::move(request), { .deadline = now + probeTimeout, .isIdempotent = true },
-        guarded([this, &target](SendResult result) {
+        guarded([this, &target, now](SendResult result) {
             target.isProbing = false;
             auto* response = std::get_if<HttpResponse>(&result);
             HealthResult health = HealthResult::Unreadable;
-            if (response)
-                recordReportedLoad(target, *response, steadyNow());
-            if (response)
+            if (response) {
+                recordReport(target, *response, now, steadyNow());
                 health = response->status == 200 ? HealthResult::Good : HealthResult::Bad;
+            }
             target.probe.noteHealth(health, steadyNow());
         }));
 }
--- a/Source/Node/TargetTask.h
+++ b/Source/Node/TargetTask.h
@@ -77,7 +77,9 @@
     void expireAnnouncements(Instant now);
     void probeTargets(Instant now);
     void probe(LocalTarget&, Instant now);
-    void recordReportedLoad(LocalTarget&, const HttpResponse&, Instant now);
+    // Applies what an answer of the target tells about the target itself. Returns the report.
+    TargetReport recordReport(LocalTarget&, const HttpResponse&, Instant sentAt, Instant now);
+    void recordRequestLimit(LocalTarget&, const TargetReport&, Instant sentAt, Instant now);
     // When to poll the load of the target, including the slowness of its VM, again; nothing while no calls arrive for
     // it.
     std::optional<Instant> nextLoadRead(const LocalTarget&, Instant now) const;
--- a/StandIns/Target/StandInTarget.cpp
+++ b/StandIns/Target/StandInTarget.cpp
@@ -139,6 +139,7 @@
         behaviour.claimedHealth = health == "good";
     if (parameters.contains("load"))
         behaviour.claimedLoad = number("load", uint32_t { 0 });
+    behaviour.requestLimit = text("request-limit", behaviour.requestLimit);
     behaviour.deduplicates = flag("deduplicate", behaviour.deduplicates);
     behaviour.nestedPort = number("nested-port", behaviour.nestedPort);
     behaviour.nestedService = text("nested-service", behaviour.nestedService);
@@ -242,6 +243,8 @@
     void finish(Work&);
     void callNested(Work&);
     void end(Work&);
+    // Adds what the target tells its node about itself.
+    void addTargetReport(evhttp_request*) const;
     void sendHealth(evhttp_request*);
     void sendLoad(evhttp_request*);
     void sendExecutions(evhttp_request*);
@@ -410,6 +413,7 @@
         for (auto* waiting : std::exchange(it->second.waiting, {}))
             sendAnswer(waiting, work.answer);
     }
+    addTargetReport(work.request);
     sendAnswer(work.request, work.answer);
     end(work);
 }
@@ -421,8 +425,16 @@
     checkDrained();
 }
 
+void StandInTarget::State::addTargetReport(evhttp_request* request) const
+{
+    auto* headers = evhttp_request_get_output_headers(request);
+    if (!behaviour.requestLimit.empty())
+        evhttp_add_header(headers, "Berylport-Request-Limit", behaviour.requestLimit.c_str());
+}
+
 void StandInTarget::State::sendHealth(evhttp_request* request)
 {
+    addTargetReport(request);
     bool isHealthy = !isStarting && !isDraining && !behaviour.isFrozen && !behaviour.failsFast;
     isHealthy = behaviour.claimedHealth.value_or(isHealthy);
     sendText(request, isHealthy ? 200 : 503, isHealthy ? "{\"healthy\":true}\n" : "{\"healthy\":false}\n");
--- a/StandIns/Target/StandInTarget.h
+++ b/StandIns/Target/StandInTarget.h
@@ -62,6 +62,9 @@
     std::optional<bool> claimedHealth;
     // load=<n>: what GET /load claims to be running, true or not.
     std::optional<uint32_t> claimedLoad;
+    // request-limit=<number>: named in all answers as the requests per second that the target takes. Nothing enforces
+    // it here.
+    std::string requestLimit;
     // deduplicate=1: a request with a known Idempotency-Key gets the first one's answer and does not run.
     bool deduplicates { false };
     // nested-port=<port>, nested-service=<name>, nested-path=<path>: calls this service through the node before it
--- a/tests/PlatformAdapter/DialectTest.cpp
+++ b/tests/PlatformAdapter/DialectTest.cpp
@@ -87,6 +87,29 @@
         EXPECT_EQ(loadOf(text), std::nullopt) << text;
 }
 
+TEST(PlatformDialect, ARequestLimitIsADecimalNumber)
+{
+    auto read = [](const std::string& text, uint16_t status = 200) {
+        return dialect.readTargetAnswer({ .status = status, .headers = { { "Server-Limit", text } } });
+    };
+    EXPECT_EQ(read("5.7").requestLimit, 5.7);
+    EXPECT_EQ(read("12", 503).requestLimit, 12.0);
+    EXPECT_EQ(read("0").requestLimit, 0.0);
+    for (auto* text : { "", "x", "-1", "nan", "inf", "1e3", "5.7 a second", "0x10" }) {
+        EXPECT_EQ(read(text).requestLimit, std::nullopt) << text;
+        EXPECT_TRUE(read(text).isRequestLimitMalformed) << text;
+    }
+    EXPECT_FALSE(dialect.readTargetAnswer({ .status = 200 }).isRequestLimitMalformed);
+}
+
+// The limit of a server that took over the address is not that of the one that was meant.
+TEST(PlatformDialect, AnotherServersAnswerSaysNothingAboutTheOneMeant)
+{
+    auto report = dialect.readTargetAnswer({ .status = 421, .headers = { { "Server-Limit", "2" } } });
+    EXPECT_EQ(report.requestLimit, std::nullopt);
+    EXPECT_EQ(dialect.readTargetAnswer({ .status = 200, .headers = { { "X-Instance-Id", "i-9" } } }).instance, "i-9");
+}
+
 TEST(PlatformDialect, RetryAfterKeepsFractions)
 {
     HttpResponse response { .status = 503 };
