Keep to the request limit that a target names

Later attempts were 21 % of the starts at limited targets before the limit was named and 29 % meanwhile, 26 % and 24 % elsewhere, so retries do not explain it. Class of fault: a statement of a target that is forwarded to the caller and not acted upon.

Every call to a target starts at one node, so the limit is kept there, by a token bucket in AdmissionController, and no senders have to share it. A call without a token waits if it can still be in time, most urgent first; otherwise it is refused at once with the time at which the limit lets one start. While others have room it is handed on. The wait and the interval between starts travel on every reply and enter the score of the target; a target whose limit is spent does not lower the service's mean load. Load is not polled while a limit holds, and probes count towards it. A node that restarts knows nothing: the target counts as starting until it has answered one probe (250 ms at most).

The target would also get too much if each restart of its node began with a burst, hence the probe; the bucket starts empty.

--- a/Source/Admission/AdmissionController.cpp
+++ b/Source/Admission/AdmissionController.cpp
@@ -99,7 +99,12 @@
     startQueued(now, actions);
 }
 
-std::optional<Instant> AdmissionController::nextWake() const { return m_queue.earliestDeadline(); }
+std::optional<Instant> AdmissionController::nextWake() const
+{
+    auto wake = m_queue.earliestDeadline();
+    bool waitsForLimit = wake && m_limiter.limit() && canRunMore();
+    return waitsForLimit ? std::min(*wake, m_limiter.nextStartAt()) : wake;
+}
 
 uint16_t AdmissionController::limit() const
 {
@@ -126,11 +131,20 @@
     return Duration(std::llround(static_cast<double>(timeAtFullSpeed.count()) * factor));
 }
 
-Duration AdmissionController::estimateQueueWait(size_t calls) const
+Duration AdmissionController::estimateWaitForSlots(size_t calls) const
 {
     return static_cast<int64_t>(calls) * m_serviceTime.average() / std::max<int64_t>(limit(), 1);
 }
 
+Duration AdmissionController::estimateQueueWait(Instant now, size_t calls) const
+{
+    return std::max(estimateWaitForSlots(calls), m_limiter.waitFor(calls, now));
+}
+
+Duration AdmissionController::startInterval() const { return std::max(estimateWaitForSlots(1), m_limiter.interval()); }
+
+bool AdmissionController::isServiceRateKnown() const { return m_serviceTime.isKnown() || m_limiter.limit(); }
+
 // Without an objective, or with one at the deadline or later, calls cannot miss the objective before they expire.
 bool AdmissionController::hasObjective(const CallRequest& request)
 {
@@ -139,9 +153,9 @@
 
 bool AdmissionController::canMeetObjective(Instant now, const CallRequest& request) const
 {
-    if (!hasObjective(request) || !m_serviceTime.isKnown())
+    if (!hasObjective(request) || !isServiceRateKnown())
         return true;
-    Duration wait = estimateQueueWait(m_queue.countAhead(request.tenant, request.priority) + 1);
+    Duration wait = estimateQueueWait(now, m_queue.countAhead(request.tenant, request.priority) + 1);
     return now + wait + expectedServiceTime(now, request) <= request.objective;
 }
 
@@ -188,7 +202,7 @@
         return RefusalReason::LedgerFull;
     if (request.mayHandOn && isVmSlow())
         return RefusalReason::SlowNow;
-    if (request.mayHandOn && isBusierThanOthers(request))
+    if (request.mayHandOn && isBusierThanOthers(now, request))
         return RefusalReason::BusyNow;
     if (wouldMissDeadline(now, request))
         return RefusalReason::DeadlineTooNear;
@@ -211,11 +225,15 @@
     return m_loadIntegrator.slowness() >= m_options.slowFactor * m_loadIntegrator.meanSlowness();
 }
 
-bool AdmissionController::isBusierThanOthers(const CallRequest& request) const
+bool AdmissionController::isBusierThanOthers(Instant now, const CallRequest& request) const
 {
     auto load = static_cast<double>(m_running + m_queue.size());
     double slots = limit();
-    return m_running >= slots && request.meanLoad < slots && load > m_options.overloadFactor * request.meanLoad;
+    bool isLimited = !m_limiter.mayStart(now);
+    if (isLimited)
+        load = std::max(load, slots);
+    bool isFull = isLimited || m_running >= slots;
+    return isFull && request.meanLoad < slots && load > m_options.overloadFactor * request.meanLoad;
 }
 
 // The estimate includes the call's own service time, as a call that starts just before its deadline is answered too
@@ -223,23 +241,24 @@
 // free slot the estimate is ignored: an overestimate would otherwise refuse all calls and never be corrected.
 bool AdmissionController::wouldMissDeadline(Instant now, const CallRequest& request) const
 {
-    if (canStart() || !m_serviceTime.isKnown())
+    if (canStart(now) || !isServiceRateKnown())
         return false;
-    auto ahead = static_cast<int64_t>(m_queue.countAhead(request.tenant, request.priority));
-    Duration wait = (ahead + 1) * m_serviceTime.average() / std::max<int64_t>(limit(), 1);
+    Duration wait = estimateQueueWait(now, m_queue.countAhead(request.tenant, request.priority) + 1);
     return now + wait + conservativeServiceTime(now, request) > request.deadline;
 }
 
-bool AdmissionController::canStart() const
+bool AdmissionController::canRunMore() const
 {
     bool takesWork = m_state == TargetState::Ready || m_state == TargetState::Draining;
     return takesWork && m_pauseGate.isOpen() && m_running < limit();
 }
 
+bool AdmissionController::canStart(Instant now) const { return canRunMore() && m_limiter.mayStart(now); }
+
 // The preceding tick has started every queued call that could start, so the queue is empty when a slot is free.
 void AdmissionController::admit(Instant now, LinkId link, CallRequest request, AdmissionActions& actions)
 {
-    bool startsNow = canStart();
+    bool startsNow = canStart(now);
     if (!startsNow && !canMeetObjective(now, request)) {
         refuseNew(now, link, request, RefusalReason::QueueFull, actions);
         return;
@@ -292,7 +311,7 @@
 void AdmissionController::startQueued(Instant now, AdmissionActions& actions)
 {
     std::vector<CallRequest> late;
-    while (canStart()) {
+    while (canStart(now)) {
         auto request = m_queue.takeNext(m_serviceTime.average());
         if (!request)
             break;
@@ -303,7 +322,7 @@
             startOrRefuse(now, std::move(*request), actions);
     }
     for (auto& it : late) {
-        if (canStart())
+        if (canStart(now))
             startOrRefuse(now, std::move(it), actions);
         else
             refuse(now, *m_ledger.find(it.id), RefusalReason::QueueFull, actions);
@@ -329,6 +348,7 @@
     m_ledger.start(entry, now);
     m_tenants.incrementRunning(entry.tenant);
     m_running++;
+    m_limiter.recordStart(now);
     m_loadIntegrator.setRunning(m_running, now);
     m_runningCalls[request.id] = { .route = request.route,
         .startSnapshot = m_loadIntegrator.snapshot(now),
@@ -463,6 +483,7 @@
     LedgerEntry* entry = releaseSlot(now, id);
     if (!entry)
         return;
+    m_limiter.revokeStart(now);
     m_tenants.decrementRunning(entry->tenant);
     refuse(now, *entry, RefusalReason::ConnectFailed, actions);
     tick(now, actions);
@@ -514,9 +535,11 @@
         || reason == RefusalReason::DeadlineTooNear;
     if (!clearsWithQueue || !m_slots)
         return {};
-    Duration drainTime = estimateQueueWait(m_queue.size() + 1);
+    Duration drainTime = estimateWaitForSlots(m_queue.size() + 1);
     Duration wait = reason == RefusalReason::TenantOverShare ? drainTime : drainTime / 2;
-    m_nextRetryAt = std::max(m_nextRetryAt + estimateQueueWait(1), now + wait);
+    // Before that, the request limit would only refuse the call again.
+    wait = std::max(wait, m_limiter.waitFor(m_queue.size() + 1, now));
+    m_nextRetryAt = std::max(m_nextRetryAt + startInterval(), now + wait);
     m_nextRetryAt = std::min(m_nextRetryAt, now + maximumRetryAfter);
     return m_nextRetryAt - now;
 }
@@ -600,6 +623,8 @@
         .serviceTime = m_serviceTime.average(),
         .slownessPercent = m_slownessPercent,
         .isWarmingUp = m_state == TargetState::Ready && now < m_warmUntil,
+        .startWait = m_limiter.waitFor(m_queue.size() + 1, now),
+        .startInterval = m_limiter.interval(),
     };
 }
 
--- a/Source/Admission/AdmissionController.h
+++ b/Source/Admission/AdmissionController.h
@@ -29,7 +29,7 @@
     bool adaptsConcurrency { false };
     // A VM slower than its long-term mean by this factor refuses calls that the sender may send to another target.
     double slowFactor { 1.5 };
-    // A target without a free slot refuses calls that the sender may send to another target if the targets of the
+    // A target that cannot start a call refuses calls that the sender may send to another target if the targets of the
     // service have free slots on average and its load exceeds that average by this factor. If all targets are full none
     // refuses them for this reason, so an overload causes no further messages.
     double overloadFactor { 1.25 };
@@ -69,6 +69,8 @@
     // The target named this limit of requests per second, or none, in its answer to a request sent at the given time.
     // Returns whether the limit changed.
     bool recordRequestLimit(Instant now, std::optional<double> limit, Instant sentAt, AdmissionActions&);
+    // A request to the target that is not a call, such as a health probe, counts towards its limit.
+    void recordProbe(Instant now) { m_limiter.recordStart(now); }
     // The target is another process, which has named no limit yet.
     void resetRequestLimit() { m_limiter.reset(); }
     const RequestLimiter& requestLimiter() const { return m_limiter; }
@@ -123,7 +125,8 @@
     std::optional<RefusalReason> findRefusal(Instant now, const CallRequest&) const;
     std::optional<RefusalReason> findStateRefusal() const;
     bool isVmSlow() const;
-    bool isBusierThanOthers(const CallRequest&) const;
+    bool isBusierThanOthers(Instant now, const CallRequest&) const;
+    bool isServiceRateKnown() const;
     bool wouldMissDeadline(Instant now, const CallRequest&) const;
     static bool hasObjective(const CallRequest&);
     // Whether the call can be answered within its objective behind those that wait.
@@ -131,13 +134,19 @@
     Duration expectedServiceTime(Instant now, const CallRequest&) const;
     Duration conservativeServiceTime(Instant now, const CallRequest&) const;
     Duration serviceTimeAtLimit(Instant now, Duration timeAtFullSpeed) const;
-    Duration estimateQueueWait(size_t calls) const;
+    Duration estimateWaitForSlots(size_t calls) const;
+    // Time until the given number of further calls may have started.
+    Duration estimateQueueWait(Instant now, size_t calls) const;
+    // Mean time between two starts while calls wait.
+    Duration startInterval() const;
     // Calls that may run at once.
     uint16_t limit() const;
     std::optional<RefusalReason> reserveQueuePosition(Instant now, const CallRequest&, AdmissionActions&);
     uint32_t fairShare(const TenantName&) const;
     void admit(Instant now, LinkId, CallRequest, AdmissionActions&);
-    bool canStart() const;
+    // A slot is free for another call, whether or not the request limit lets one start.
+    bool canRunMore() const;
+    bool canStart(Instant now) const;
     void startQueued(Instant now, AdmissionActions&);
     void startOrRefuse(Instant now, CallRequest, AdmissionActions&);
     void start(Instant now, LedgerEntry&, CallRequest, AdmissionActions&);
--- a/Source/Base/CallMessages.h
+++ b/Source/Base/CallMessages.h
@@ -47,6 +47,10 @@
     uint16_t slownessPercent { 0 };
     // The target has started a short while ago and gets less work.
     bool isWarmingUp { false };
+    // Time until the target's request limit lets one more call start, and the mean time between starts that it allows;
+    // zero when it names none.
+    Duration startWait {};
+    Duration startInterval {};
     bool operator==(const LoadReport&) const = default;
 };
 
--- a/Source/Measure/TargetProbe.cpp
+++ b/Source/Measure/TargetProbe.cpp
@@ -5,9 +5,9 @@
 
 namespace Berylport {
 
-void TargetProbe::noteReadStarted(Instant now)
+void TargetProbe::noteReadStarted(Instant now, Duration minimumInterval)
 {
-    m_interval = m_options.interval;
+    m_interval = std::clamp(minimumInterval, m_options.interval, m_options.maximumInterval);
     m_nextRead = now + m_interval;
 }
 
--- a/Source/Measure/TargetProbe.h
+++ b/Source/Measure/TargetProbe.h
@@ -42,7 +42,8 @@
     Instant nextRead() const { return m_nextRead; }
     bool isDue(Instant now) const { return now >= m_nextRead; }
     // The budget allowed a read, which starts now.
-    void noteReadStarted(Instant now);
+    // The next read follows after the usual interval, or after the given one if that is longer.
+    void noteReadStarted(Instant now, Duration minimumInterval = {});
     void noteReadRefused(Instant now);
 
     void noteHealth(HealthResult, Instant now);
--- a/Source/Node/LocalTarget.cpp
+++ b/Source/Node/LocalTarget.cpp
@@ -53,7 +53,7 @@
     // An earlier process may have acknowledged the departure of a target with an instance id, so the target is not
     // ready until the departures are known.
     bool mayHaveDeparted = !areDeparturesKnown && !announcement->instance.empty();
-    if (mayHaveDeparted && announcement->state == TargetState::Ready)
+    if ((mayHaveDeparted || firstAnswerDeadline) && announcement->state == TargetState::Ready)
         return TargetState::Starting;
     return announcement->state;
 }
--- a/Source/Node/LocalTarget.h
+++ b/Source/Node/LocalTarget.h
@@ -63,6 +63,9 @@
     bool isDrainedByOperator { false };
     // Whether the store or other members have reported the departures that earlier processes acknowledged.
     bool areDeparturesKnown { false };
+    // Until when the target counts as starting because it has not answered this process yet; empty once it has. Its
+    // first answer tells whether it limits requests or leaves.
+    std::optional<Instant> firstAnswerDeadline;
     // Whether the target has refused a connection since its last announcement.
     bool isRefusing { false };
     std::string healthPath { "/health" };
--- a/Source/Node/TargetTask.cpp
+++ b/Source/Node/TargetTask.cpp
@@ -24,6 +24,11 @@
 // departure is acknowledged anyway; this process enforces it even if it was not persisted.
 constexpr Duration departureRecordTimeout = std::chrono::milliseconds(700);
 
+// A target that has not answered its first probe by then is used without knowing whether it limits requests.
+constexpr Duration firstAnswerTimeout = std::chrono::milliseconds(250);
+// While a target limits requests, at most one in this many is a probe, as far as the longest probe interval allows.
+constexpr int64_t requestsPerProbe = 10;
+
 AnswerOwner ownerOf(const TargetReport& report, std::string_view tag)
 {
     if (report.answerTag.empty() || tag.empty())
@@ -394,6 +399,14 @@
         responder.answer(makeTextResponse(404, "no such target is announced"));
 }
 
+void TargetTask::endFirstAnswerWait(LocalTarget& target)
+{
+    if (!std::exchange(target.firstAnswerDeadline, std::nullopt))
+        return;
+    if (target.announcement && target.announcement->state == TargetState::Ready)
+        stateChanged(target);
+}
+
 void TargetTask::acknowledgeDeparture(const TargetIncarnation& departed, const Responder& responder)
 {
     logEvent(Event::TargetDeparted, { { "instance", departed.instance } });
@@ -449,6 +462,9 @@
         target.connect(announcement.endpoint, dialect().allowsCloseDelimitedAnswers());
         target.admission.resetRequestLimit();
         target.admission.setWarmUpEnd(now + announcement.coldFor);
+        target.firstAnswerDeadline = now + firstAnswerTimeout;
+        wakeBy(*target.firstAnswerDeadline);
+        probe(target, now);
     }
     if (hasOtherSlots) {
         AdmissionActions actions;
@@ -630,6 +646,8 @@
         target.admission.targetNotReached(now, id, actions);
     }
     perform(target, actions);
+    if (auto due = target.admission.nextWake())
+        wakeBy(*due);
     updateStatus();
 }
 
@@ -715,6 +733,8 @@
 {
     uint32_t rate = m_context.settings.measure.loadReadsPerSecond;
     bool isReadable = rate && target.client && target.announcement && target.lastLoadReportAt != Instant();
+    // Such a target has no requests to spare for measurements.
+    isReadable &= !target.admission.requestLimiter().limit();
     if (!isReadable || now - target.lastOfferAt >= loadReadWindow)
         return std::nullopt;
     return target.lastLoadReportAt + std::chrono::microseconds(std::chrono::seconds(1)) / rate;
@@ -722,7 +742,8 @@
 
 void TargetTask::probe(LocalTarget& target, Instant now)
 {
-    target.probe.noteReadStarted(now);
+    target.probe.noteReadStarted(now, target.admission.requestLimiter().interval() * requestsPerProbe);
+    target.admission.recordProbe(now);
     target.isProbing = true;
     m_context.metrics.add("berylport_measuring_bytes_total", probeBytes);
     HttpRequest request { .method = "GET", .target = target.healthPath };
@@ -736,6 +757,8 @@
                 health = response->status == 200 ? HealthResult::Good : HealthResult::Bad;
             }
             target.probe.noteHealth(health, steadyNow());
+            endFirstAnswerWait(target);
+            wake();
         }));
 }
 
@@ -755,6 +778,10 @@
     Instant next = m_nextCheck;
     for (auto& [service, target] : m_targets) {
         auto due = nextLoadRead(*target, now);
+        if (target->firstAnswerDeadline && now >= *target->firstAnswerDeadline)
+            endFirstAnswerWait(*target);
+        if (target->firstAnswerDeadline)
+            next = std::min(next, *target->firstAnswerDeadline);
         if (!due || target->isProbing)
             continue;
         if (*due <= now)
@@ -772,10 +799,19 @@
         if (auto due = target->admission.nextWake())
             next = std::min(next, *due);
     }
+    m_nextWake = next;
     m_timer.startAt(next);
     updateStatus();
 }
 
+void TargetTask::wakeBy(Instant due)
+{
+    if (due >= m_nextWake)
+        return;
+    m_nextWake = due;
+    m_timer.startAt(due);
+}
+
 void TargetTask::updateStatus()
 {
     size_t admitted = 0;
--- a/Source/Node/TargetTask.h
+++ b/Source/Node/TargetTask.h
@@ -80,10 +80,12 @@
     // Applies what an answer of the target tells about the target itself. Returns the report.
     TargetReport recordReport(LocalTarget&, const HttpResponse&, Instant sentAt, Instant now);
     void recordRequestLimit(LocalTarget&, const TargetReport&, Instant sentAt, Instant now);
+    void endFirstAnswerWait(LocalTarget&);
     // When to poll the load of the target, including the slowness of its VM, again; nothing while no calls arrive for
     // it.
     std::optional<Instant> nextLoadRead(const LocalTarget&, Instant now) const;
     void wake();
+    void wakeBy(Instant due);
     void updateStatus();
 
     NodeContext& m_context;
@@ -102,6 +104,8 @@
     uint64_t m_pauseNumber { 0 };
     bool m_isDraining { false };
     Instant m_nextCheck;
+    // Time for which the timer is set.
+    Instant m_nextWake;
     // Departures that are being persisted, with the time at which they are acknowledged regardless.
     std::list<PendingAcknowledgement> m_acknowledgements;
 
--- a/Source/Peer/PeerCodec.cpp
+++ b/Source/Peer/PeerCodec.cpp
@@ -113,6 +113,9 @@
     builder.setServiceTimeMicroseconds(
         static_cast<uint32_t>(std::clamp<int64_t>(load.serviceTime.count(), 0, maximum)));
     builder.setSlownessPercent(load.slownessPercent);
+    builder.setStartWaitMicroseconds(static_cast<uint32_t>(std::clamp<int64_t>(load.startWait.count(), 0, maximum)));
+    builder.setStartIntervalMicroseconds(
+        static_cast<uint32_t>(std::clamp<int64_t>(load.startInterval.count(), 0, maximum)));
 }
 
 LoadReport readLoad(Schema::LoadReport::Reader reader)
@@ -124,6 +127,8 @@
         .serviceTime = Duration(reader.getServiceTimeMicroseconds()),
         .slownessPercent = reader.getSlownessPercent(),
         .isWarmingUp = reader.getIsWarmingUp(),
+        .startWait = Duration(reader.getStartWaitMicroseconds()),
+        .startInterval = Duration(reader.getStartIntervalMicroseconds()),
     };
 }
 
--- a/Source/Routing/TargetSelector.cpp
+++ b/Source/Routing/TargetSelector.cpp
@@ -367,7 +367,9 @@
 {
     view.applyReport(load, now);
     view.silentSince = now;
-    m_meanLoad += meanLoadSmoothing * (view.reportedLoad() - m_meanLoad);
+    // A target whose request limit lets no call start has no room, however few calls it runs.
+    if (load.startWait <= Duration::zero())
+        m_meanLoad += meanLoadSmoothing * (view.reportedLoad() - m_meanLoad);
 }
 
 void TargetSelector::MeanTime::add(double sample)
--- a/Source/Routing/TargetView.cpp
+++ b/Source/Routing/TargetView.cpp
@@ -6,6 +6,15 @@
 
 namespace Berylport {
 
+namespace {
+
+// Time in which the usual wait for a request limit counts half, so that an unused target is tried again.
+constexpr Duration limitHalfLife = std::chrono::seconds(1);
+// Weight of the latest report in the usual wait for a request limit.
+constexpr double startWaitSmoothing = 0.3;
+
+} // namespace
+
 double TargetView::weight(const RoutingOptions& options, Instant now) const
 {
     double weight = load.isWarmingUp ? options.warmingUpWeight : 1;
@@ -27,6 +36,18 @@
     return std::max<double>(outstanding, estimate + sentSinceReport);
 }
 
+Duration TargetView::limitWait(Instant now) const
+{
+    if (!reportedAt || load.startInterval <= Duration::zero())
+        return {};
+    Duration age = now - *reportedAt;
+    Duration wait = load.startWait + static_cast<int64_t>(sentSinceReport) * load.startInterval - age;
+    // Other senders use the starts that have become possible since the report.
+    double freshness = std::exp2(-static_cast<double>(age.count()) / static_cast<double>(limitHalfLife.count()));
+    Duration usual(std::llround(static_cast<double>(usualStartWait.count()) * freshness));
+    return std::max({ Duration::zero(), wait, usual });
+}
+
 double TargetView::unloadedServiceTime(const RoutingOptions& options, const ServiceMeans& means) const
 {
     if (answers && hasRoutes && means.answerTime > Duration::zero()) {
@@ -66,12 +87,14 @@
     double occupied = estimatedLoad(policy, means.load, now);
     double waiting = policy.queueWeight * std::max(0.0, occupied + 1 - slots) / slots;
     double factor = 1 + waiting + policy.occupancyWeight * std::min(1.0, occupied / slots);
-    return serviceTime * factor + static_cast<double>(extraRoundTrip.count());
+    return serviceTime * factor + static_cast<double>((extraRoundTrip + limitWait(now)).count());
 }
 
 void TargetView::applyReport(const LoadReport& report, Instant now)
 {
     load = report;
+    usualStartWait += Duration(
+        std::llround(startWaitSmoothing * static_cast<double>((report.startWait - usualStartWait).count())));
     reportedAt = now;
     sentSinceReport = 0;
 }
--- a/Source/Routing/TargetView.h
+++ b/Source/Routing/TargetView.h
@@ -37,6 +37,8 @@
     Instant silentSince;
     // Calls sent since the latest load report, which does not include them.
     uint32_t sentSinceReport { 0 };
+    // Moving average of the wait for the request limit in the reports.
+    Duration usualStartWait {};
     // Moving average of the latency without the extra round trip, normalised for the route; failures count as slow
     // answers.
     Duration latency {};
@@ -61,6 +63,8 @@
     double weight(const RoutingOptions&, Instant now) const;
     // Running and queued calls in the latest report.
     double reportedLoad() const { return static_cast<double>(load.running) + load.queued; }
+    // Time until the request limit of the target lets a call start that is sent now.
+    Duration limitWait(Instant now) const;
     // Estimate of the calls at the target now; tends to meanLoad as the report ages.
     double estimatedLoad(const FreshLoad&, double meanLoad, Instant now) const;
     // Expected time of a call sent now, including the extra round trip.
--- a/Source/Schema/Generated/Peer.capnp.h
+++ b/Source/Schema/Generated/Peer.capnp.h
@@ -187,7 +187,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fdf4f91d531654bb, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(fdf4f91d531654bb, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1033,6 +1033,10 @@
 
   inline  ::uint16_t getSlownessPercent() const;
 
+  inline  ::uint32_t getStartWaitMicroseconds() const;
+
+  inline  ::uint32_t getStartIntervalMicroseconds() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1079,6 +1083,12 @@
   inline  ::uint16_t getSlownessPercent();
   inline void setSlownessPercent( ::uint16_t value);
 
+  inline  ::uint32_t getStartWaitMicroseconds();
+  inline void setStartWaitMicroseconds( ::uint32_t value);
+
+  inline  ::uint32_t getStartIntervalMicroseconds();
+  inline void setStartIntervalMicroseconds( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3953,6 +3963,34 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t LoadReport::Reader::getStartWaitMicroseconds() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LoadReport::Builder::getStartWaitMicroseconds() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void LoadReport::Builder::setStartWaitMicroseconds( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t LoadReport::Reader::getStartIntervalMicroseconds() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LoadReport::Builder::getStartIntervalMicroseconds() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void LoadReport::Builder::setStartIntervalMicroseconds( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CallRequest::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Source/Schema/Peer.capnp
+++ b/Source/Schema/Peer.capnp
@@ -80,6 +80,9 @@
   serviceTimeMicroseconds @4 :UInt32;
   # How long work takes on the target's VM at present; 100 is its usual speed, zero is unknown.
   slownessPercent @5 :UInt16;
+  # Time until the target's request limit lets one more call start, and the mean time between starts; zero without one.
+  startWaitMicroseconds @6 :UInt32;
+  startIntervalMicroseconds @7 :UInt32;
 }
 
 struct CallRequest {
--- a/tests/HeavyLoad/HeavyLoadTest.cpp
+++ b/tests/HeavyLoad/HeavyLoadTest.cpp
@@ -28,6 +28,7 @@
     double utilityShare { 0 };
     std::map<std::string, ClassResult> classes;
     size_t falseAnswers { 0 };
+    size_t mostAtLimitedTarget { 0 };
 };
 
 Totals simulate(Strategy strategy, WorldOptions options)
@@ -38,6 +39,7 @@
         WorldResult result = World(strategy, options).run();
         totals.utilityShare += result.utilityShare / seeds;
         totals.falseAnswers += result.falseAnswers;
+        totals.mostAtLimitedTarget = std::max(totals.mostAtLimitedTarget, result.mostAtLimitedTarget);
         for (auto& [name, it] : result.classes) {
             ClassResult& sum = totals.classes[name];
             sum.calls += it.calls;
@@ -96,6 +98,19 @@
     EXPECT_LT(product.utilityShare, oracle.utilityShare + 0.05);
 }
 
+void expectPromisesKept(Totals& product, const WorldOptions& options)
+{
+    EXPECT_EQ(product.falseAnswers, 0u);
+    // Users' requirement: one and a half times what the limit allows, and five requests.
+    if (options.limitedTargets) {
+        EXPECT_LE(static_cast<double>(product.mostAtLimitedTarget), 1.5 * 4 * options.requestLimit + 5);
+    }
+    // Users' requirement: the served share of a higher priority may be at most 5 percentage points below that of a
+    // lower one.
+    EXPECT_GE(product.classes["urgent"].servedShare(), product.classes["usual"].servedShare() - 0.05);
+    expectNoRefusalNearTheEnd(product);
+}
+
 // Every strategy gets the same load.
 void expectBestForCallers(const WorldOptions& options)
 {
@@ -103,11 +118,7 @@
     print("product", product);
     if (comparesStrategies)
         expectBetterThanOthers(product, options);
-    EXPECT_EQ(product.falseAnswers, 0u);
-    // Users' requirement: the served share of a higher priority may be at most 5 percentage points below that of a
-    // lower one.
-    EXPECT_GE(product.classes["urgent"].servedShare(), product.classes["usual"].servedShare() - 0.05);
-    expectNoRefusalNearTheEnd(product);
+    expectPromisesKept(product, options);
 }
 
 } // namespace
@@ -119,6 +130,20 @@
     expectBestForCallers({ .burstRate = 700, .replacementInterval = 600ms });
 }
 
+TEST(HeavyLoad, CallersGetMoreWhileSomeTargetsLimitRequests)
+{
+    expectBestForCallers({ .rate = 400, .burstRate = 400, .limitedTargets = 6, .requestLimit = 12 });
+}
+
+// No placing of calls can help, so this is not compared with other strategies.
+TEST(HeavyLoad, TargetsKeepTheirLimitsWhenAllOfThemNameOne)
+{
+    WorldOptions options { .rate = 300, .burstRate = 300, .limitedTargets = 12, .requestLimit = 15 };
+    Totals product = simulate(Strategy::Product, options);
+    print("product", product);
+    expectPromisesKept(product, options);
+}
+
 TEST(HeavyLoad, CallersGetMoreWhenMostTargetsAreBusyAllTheTime)
 {
     expectBestForCallers({ .rate = 750, .burstRate = 750 });
--- a/tests/HeavyLoad/LoadWorld.cpp
+++ b/tests/HeavyLoad/LoadWorld.cpp
@@ -19,6 +19,8 @@
 constexpr Duration coldTime = 1s;
 constexpr double coldFactor = 2;
 constexpr uint32_t oracleAttempts = 3;
+// Mean time of a call in seconds, to compare it with waits.
+constexpr double oracleServiceTime = 0.06;
 
 const ServiceName& service()
 {
@@ -164,6 +166,24 @@
     });
 }
 
+bool World::isLimited(const Target& target) const
+{
+    auto index = static_cast<size_t>(&target - m_targets.data());
+    return index < m_options.limitedTargets && m_now - m_start >= m_options.burstStart;
+}
+
+void World::countStart(Target& target)
+{
+    // Every sender has been told by then.
+    if (!isLimited(target) || m_now - m_start < m_options.burstStart + 500ms)
+        return;
+    target.starts.push_back(m_now);
+    while (m_now - target.starts.front() > 4s)
+        target.starts.pop_front();
+    if (m_now - m_start >= m_options.burstStart + 3s)
+        m_result.mostAtLimitedTarget = std::max(m_result.mostAtLimitedTarget, target.starts.size());
+}
+
 void World::beginSpeedInterval(Target& target)
 {
     if (m_now - m_start >= 2 * m_options.length)
@@ -323,7 +343,8 @@
         LoadReport load = it.admission->load(m_now);
         double occupied = load.running + load.queued + 1.0;
         double waiting = std::max(0.0, occupied - m_options.slots) / m_options.slots;
-        double time = slowdown(it) * (1 + waiting);
+        double seconds = std::chrono::duration<double>(load.startWait).count();
+        double time = slowdown(it) * (1 + waiting) + seconds / oracleServiceTime;
         if (best && time >= bestTime)
             continue;
         best = &it;
@@ -353,7 +374,8 @@
             advanceWork(target);
             Caller& caller = m_callers.at(start->id.call);
             ++caller.runs;
-            target.runs.push_back({ .id = start->id, .workLeft = caller.work });
+            target.runs.push_back({ .id = start->id, .workLeft = caller.work, .startedAt = m_now });
+            countStart(target);
             scheduleCompletion(target);
         } else if (auto* reply = std::get_if<Reply>(&action)) {
             at(m_now + oneWay, [this, &target, message = std::move(reply->reply)] {
@@ -419,17 +441,19 @@
         if (target.completionVersion != version)
             return;
         advanceWork(target);
-        std::vector<AttemptId> finished;
+        std::vector<Run> finished;
         std::erase_if(target.runs, [&](auto& it) {
             if (it.workLeft > 1e-6)
                 return false;
-            finished.push_back(it.id);
+            finished.push_back(it);
             return true;
         });
         this->scheduleCompletion(target);
-        for (auto& id : finished) {
+        for (auto& it : finished) {
             AdmissionActions actions;
-            target.admission->targetAnswered(m_now, id, { .status = 200 }, actions);
+            auto limit = isLimited(target) ? std::optional(m_options.requestLimit) : std::nullopt;
+            target.admission->recordRequestLimit(m_now, limit, it.startedAt, actions);
+            target.admission->targetAnswered(m_now, it.id, { .status = 200 }, actions);
             perform(target, std::move(actions));
         }
         wakeTarget(target);
--- a/tests/HeavyLoad/LoadWorld.h
+++ b/tests/HeavyLoad/LoadWorld.h
@@ -6,6 +6,7 @@
 #include "Admission/Admission.h"
 #include "Calls/Calls.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -45,6 +46,9 @@
     double burstRate { 1100 };
     Duration burstStart { std::chrono::seconds(3) };
     Duration burstEnd { std::chrono::seconds(5) };
+    // This many targets name a request limit from the start of the burst on; zero disables it.
+    size_t limitedTargets { 0 };
+    double requestLimit { 0 };
     // Interval between replacements in a rolling replacement of all targets; zero disables it.
     Duration replacementInterval {};
 };
@@ -79,6 +83,8 @@
     double utilityShare { 0 };
     // Calls that ran twice, or that ran although their caller was told that they had not.
     size_t falseAnswers { 0 };
+    // Most requests that a limited target got in four seconds, from three seconds after it first named its limit.
+    size_t mostAtLimitedTarget { 0 };
 };
 
 class World {
@@ -90,6 +96,7 @@
     struct Run {
         AttemptId id;
         double workLeft { 0 };
+        Instant startedAt;
     };
     struct Target {
         TargetId id;
@@ -98,6 +105,8 @@
         bool isSlow { false };
         bool isAway { false };
         Instant coldUntil;
+        // Starts of the last four seconds.
+        std::deque<Instant> starts;
         // Time up to which the progress of the runs has been computed.
         Instant progressAt;
         // Invalidates completion events scheduled for an earlier speed or set of runs.
@@ -120,6 +129,8 @@
     void addTargets();
     void publishTargets();
     void scheduleArrival();
+    bool isLimited(const Target&) const;
+    void countStart(Target&);
     void beginSpeedInterval(Target&);
     void replace(size_t target);
     void call(const CallId&);
--- a/tests/Node/LocalTargetTest.cpp
+++ b/tests/Node/LocalTargetTest.cpp
@@ -32,3 +32,14 @@
     m_target.connect({ .address = "127.0.0.1", .port = 1 }, false);
     EXPECT_FALSE(m_target.isProbing);
 }
+
+TEST_F(LocalTargetTest, ATargetIsNotUsedBeforeItsFirstAnswer)
+{
+    m_target.firstAnswerDeadline = Instant(std::chrono::seconds(1));
+    EXPECT_EQ(m_target.effectiveState(), TargetState::Starting);
+    m_target.announcement->state = TargetState::Draining;
+    EXPECT_EQ(m_target.effectiveState(), TargetState::Draining);
+    m_target.announcement->state = TargetState::Ready;
+    m_target.firstAnswerDeadline.reset();
+    EXPECT_EQ(m_target.effectiveState(), TargetState::Ready);
+}
--- a/tests/Peer/PeerCodecTest.cpp
+++ b/tests/Peer/PeerCodecTest.cpp
@@ -109,6 +109,21 @@
     }
 }
 
+TEST(PeerCodec, TheWaitForARequestLimitReadsBack)
+{
+    AttemptId id { .call = { .origin = NodeId { 1 }, .sequence = 2 }, .attempt = 3 };
+    auto readBack = [&](Duration wait, Duration interval) {
+        capnp::MallocMessageBuilder message;
+        auto builder = message.initRoot<Schema::CallReply>();
+        CallReply reply = CallRefused { .id = id, .load = { .startWait = wait, .startInterval = interval } };
+        write(builder, reply);
+        return std::get<CallRefused>(readCallReply(builder.asReader()).value()).load;
+    };
+    EXPECT_EQ(readBack(300ms, 150ms).startWait, 300ms);
+    EXPECT_EQ(readBack(300ms, 150ms).startInterval, 150ms);
+    EXPECT_EQ(readBack(1h, 1h).startWait, 1h);
+}
+
 TEST(PeerCodec, InvalidServiceDefinitionIsMalformed)
 {
     auto isReadable = [](const ServiceDefinition& definition) {
--- a/tests/Routing/TargetSelectorTest.cpp
+++ b/tests/Routing/TargetSelectorTest.cpp
@@ -345,6 +345,43 @@
     EXPECT_GT(later[2], 300);
 }
 
+TEST(TargetSelector, TargetsWhoseRequestLimitIsSpentGetNoCallsWhileOthersHaveRoom)
+{
+    TargetSelector selector(makeOptions());
+    auto targets = makeTargets(3);
+    selector.updateTargets(targets, at(0s));
+    for (uint64_t n = 1; n <= 3; ++n)
+        answer(selector, n, 10ms, at(1s));
+    LoadReport limited = makeLoad(0, 0);
+    limited.startWait = 20ms;
+    limited.startInterval = 150ms;
+    selector.recordRefusal(targets[0].id, limited, at(1s));
+    EXPECT_EQ(countSelections(selector, at(1s))[1], 0);
+    selector.recordRefusal(targets[1].id, makeLoad(10, 30), at(1s));
+    selector.recordRefusal(targets[2].id, makeLoad(10, 30), at(1s));
+    EXPECT_EQ(countSelections(selector, at(1s))[1], 1000);
+    // Each call that is sent there takes another start.
+    for (int n = 0; n < 2; ++n)
+        selector.recordSend(targets[0].id, at(1s));
+    EXPECT_EQ(countSelections(selector, at(1s))[1], 0);
+}
+
+// Otherwise full targets would hand calls on to limited ones, which would hand them back.
+TEST(TargetSelector, ATargetWhoseRequestLimitIsSpentDoesNotLowerTheMeanLoad)
+{
+    TargetSelector selector(makeOptions());
+    auto targets = makeTargets(2);
+    selector.updateTargets(targets, at(0s));
+    LoadReport limited = makeLoad(0, 0);
+    limited.startWait = 150ms;
+    limited.startInterval = 150ms;
+    for (int n = 0; n < 500; ++n) {
+        selector.recordRefusal(targets[0].id, limited, at(1s));
+        selector.recordRefusal(targets[1].id, makeLoad(10, 0), at(1s));
+    }
+    EXPECT_NEAR(selector.meanLoad(), 10, 0.01);
+}
+
 // Guards against stale list positions after any order of updates, results and readmissions.
 RC_GTEST_PROP(TargetSelectorProperty, SelectsOnlyUsableTargetsAndNeverEjectsMoreThanHalf, ())
 {
