Stop calls to a target that says in its answers that it leaves

A target that shuts down may say so in its answers before its announcement comes, up to a heartbeat later, or although the announcement is lost. Nodes ignored that and sent it calls until the announcement; callers' requests then reached a target that had told them to go elsewhere.

Each node asks the target's own node for every call, so that node acts: it marks the target as draining, records the departure like an announced one, and so a later process on the VM knows it.

--- a/Source/Node/CallerAnswers.h
+++ b/Source/Node/CallerAnswers.h
@@ -27,6 +27,7 @@
 constexpr std::string_view notRun = "Berylport-Not-Run";
 constexpr std::string_view load = "Berylport-Load";
 constexpr std::string_view requestLimit = "Berylport-Request-Limit";
+constexpr std::string_view leaving = "Berylport-Leaving";
 // Request id chosen by the caller.
 constexpr std::string_view requestId = "Berylport-Request-Id";
 } // namespace Header
--- a/Source/Node/Dialect.h
+++ b/Source/Node/Dialect.h
@@ -37,6 +37,8 @@
     std::optional<double> requestLimit {};
     // The target named a limit that cannot be read.
     bool isRequestLimitMalformed { false };
+    // The target shuts down and must receive no new calls.
+    bool isLeaving { false };
     // Instance id of the target that answered; empty if the response does not name it.
     std::string instance {};
 };
--- a/Source/Node/NativeDialect.cpp
+++ b/Source/Node/NativeDialect.cpp
@@ -65,6 +65,7 @@
         report.load = parseReportedLoad(*load);
     if (auto limit = findHeader(response.headers, Header::requestLimit))
         readRequestLimit(report, *limit);
+    report.isLeaving = findHeader(response.headers, Header::leaving) == "1";
     return report;
 }
 
--- a/Source/Node/TargetTask.cpp
+++ b/Source/Node/TargetTask.cpp
@@ -704,9 +704,25 @@
         target.admission.recordReportedLoad(now, *report.load);
     }
     recordRequestLimit(target, report, sentAt, now);
+    bool isNewDeparture
+        = report.isLeaving && target.announcement && target.announcement->state != TargetState::Draining;
+    if (isNewDeparture)
+        beginDeparture(target);
     return report;
 }
 
+// The target has said so in an answer; its announcement follows up to a heartbeat later.
+void TargetTask::beginDeparture(LocalTarget& target)
+{
+    auto departed = m_order.withdraw(target.announcement->instance);
+    target.announcement->state = TargetState::Draining;
+    stateChanged(target);
+    if (!departed)
+        return;
+    logEvent(Event::TargetDeparted, { { "instance", departed->instance }, { "source", "answer" } });
+    m_context.ports.configuration.post(RecordDeparture { .departed = std::move(*departed), .done = [] {} });
+}
+
 void TargetTask::recordRequestLimit(LocalTarget& target, const TargetReport& report, Instant sentAt, Instant now)
 {
     bool wasMalformed = std::exchange(target.isLimitMalformed, report.isRequestLimitMalformed);
--- a/Source/Node/TargetTask.h
+++ b/Source/Node/TargetTask.h
@@ -80,6 +80,7 @@
     // Applies what an answer of the target tells about the target itself. Returns the report.
     TargetReport recordReport(LocalTarget&, const HttpResponse&, Instant sentAt, Instant now);
     void recordRequestLimit(LocalTarget&, const TargetReport&, Instant sentAt, Instant now);
+    void beginDeparture(LocalTarget&);
     void endFirstAnswerWait(LocalTarget&);
     // When to poll the load of the target, including the slowness of its VM, again; nothing while no calls arrive for
     // it.
--- a/StandIns/Target/StandInTarget.cpp
+++ b/StandIns/Target/StandInTarget.cpp
@@ -140,6 +140,7 @@
     if (parameters.contains("load"))
         behaviour.claimedLoad = number("load", uint32_t { 0 });
     behaviour.requestLimit = text("request-limit", behaviour.requestLimit);
+    behaviour.isLeaving = flag("leaving", behaviour.isLeaving);
     behaviour.deduplicates = flag("deduplicate", behaviour.deduplicates);
     behaviour.nestedPort = number("nested-port", behaviour.nestedPort);
     behaviour.nestedService = text("nested-service", behaviour.nestedService);
@@ -430,6 +431,8 @@
     auto* headers = evhttp_request_get_output_headers(request);
     if (!behaviour.requestLimit.empty())
         evhttp_add_header(headers, "Berylport-Request-Limit", behaviour.requestLimit.c_str());
+    if (behaviour.isLeaving)
+        evhttp_add_header(headers, "Berylport-Leaving", "1");
 }
 
 void StandInTarget::State::sendHealth(evhttp_request* request)
--- a/StandIns/Target/StandInTarget.h
+++ b/StandIns/Target/StandInTarget.h
@@ -65,6 +65,8 @@
     // request-limit=<number>: named in all answers as the requests per second that the target takes. Nothing enforces
     // it here.
     std::string requestLimit;
+    // leaving=1: all answers say that the target shuts down; its announcements do not.
+    bool isLeaving { false };
     // deduplicate=1: a request with a known Idempotency-Key gets the first one's answer and does not run.
     bool deduplicates { false };
     // nested-port=<port>, nested-service=<name>, nested-path=<path>: calls this service through the node before it
--- a/tests/PlatformAdapter/DialectTest.cpp
+++ b/tests/PlatformAdapter/DialectTest.cpp
@@ -102,11 +102,24 @@
     EXPECT_FALSE(dialect.readTargetAnswer({ .status = 200 }).isRequestLimitMalformed);
 }
 
-// The limit of a server that took over the address is not that of the one that was meant.
+TEST(PlatformDialect, ALeavingServerSaysSoInItsAnswers)
+{
+    auto isLeaving = [](std::vector<HttpHeader> headers, uint16_t status = 200) {
+        return dialect.readTargetAnswer({ .status = status, .headers = std::move(headers) }).isLeaving;
+    };
+    EXPECT_TRUE(isLeaving({ { "Server-Leaving", "1" } }));
+    EXPECT_TRUE(isLeaving({ { "server-leaving", "1" } }, 503));
+    EXPECT_FALSE(isLeaving({ { "Server-Leaving", "0" } }));
+    EXPECT_FALSE(isLeaving({}));
+}
+
+// The limit and the leaving of a server that took over the address are not those of the one that was meant.
 TEST(PlatformDialect, AnotherServersAnswerSaysNothingAboutTheOneMeant)
 {
-    auto report = dialect.readTargetAnswer({ .status = 421, .headers = { { "Server-Limit", "2" } } });
+    auto report = dialect.readTargetAnswer(
+        { .status = 421, .headers = { { "Server-Limit", "2" }, { "Server-Leaving", "1" } } });
     EXPECT_EQ(report.requestLimit, std::nullopt);
+    EXPECT_FALSE(report.isLeaving);
     EXPECT_EQ(dialect.readTargetAnswer({ .status = 200, .headers = { { "X-Instance-Id", "i-9" } } }).instance, "i-9");
 }
 
