Show the era of the shared store

The platform's store may come back from an older copy; then versions go back and are given out again, and an era in all its answers rises by one. Nodes did not read it, so their logs could not tell a restored store from a truncated history.

Each result of the store's adapter names the era now, and a node logs store-restored when it rises. Positions of the followed configuration are an era and a version. What a node does with them is unchanged.

--- a/Source/Configuration/SourceFollower.cpp
+++ b/Source/Configuration/SourceFollower.cpp
@@ -7,12 +7,12 @@
 
 void SourceFollower::start(Instant, std::vector<FollowerAction>& actions) { actions.push_back(ReadSource {}); }
 
-void SourceFollower::sourceAnswered(uint64_t position, Instant now, std::vector<FollowerAction>& actions)
+void SourceFollower::sourceAnswered(const SourcePosition& position, Instant now, std::vector<FollowerAction>& actions)
 {
     m_failures = 0;
     m_lastSourceResponseAt = now;
     m_retryAt.reset();
-    m_position = std::max(position, m_position.value_or(0));
+    m_position = std::max(position.version, m_position.value_or(0));
     if (m_isReader) {
         actions.push_back(FollowSource { .position = *m_position, .wait = m_options.longPollTimeout });
         return;
--- a/Source/Configuration/SourceFollower.h
+++ b/Source/Configuration/SourceFollower.h
@@ -13,6 +13,14 @@
 
 namespace Berylport {
 
+// Position in the history of a source.
+struct SourcePosition {
+    // Rises each time the source has lost changes that it had acknowledged; zero if the source does not tell. Versions
+    // of an earlier era may be given out again for other changes.
+    uint64_t era { 0 };
+    uint64_t version { 0 };
+};
+
 // Read the full document from the source.
 struct ReadSource { };
 
@@ -60,7 +68,7 @@
 
     void start(Instant now, std::vector<FollowerAction>&);
     // Any response from the source. The position is where to resume from.
-    void sourceAnswered(uint64_t position, Instant now, std::vector<FollowerAction>&);
+    void sourceAnswered(const SourcePosition&, Instant now, std::vector<FollowerAction>&);
     // The source reported that it no longer retains the changes after the position.
     void historyTruncated(Instant now, std::vector<FollowerAction>&);
     void sourceFailed(Instant now);
--- a/Source/Log/EventCatalogue.cpp
+++ b/Source/Log/EventCatalogue.cpp
@@ -117,6 +117,8 @@
         "The table service or the object store does not answer." },
     { Event::StoreRecovered, Level::Info, "store-recovered", "The table service or the object store answers again." },
     { Event::RowMalformed, Level::Warning, "row-malformed", "A row of the shared store could not be read." },
+    { Event::StoreRestored, Level::Warning, "store-restored",
+        "The shared store came back from an older copy; this node's row and the configuration are read again." },
     { Event::OperatorChange, Level::Info, "operator-change", "An operator changed a service or drained a target." },
     { Event::OperatorRejected, Level::Info, "operator-rejected", "An operator's request was invalid or in conflict." },
     { Event::MeasuringSkipped, Level::Debug, "measuring-skipped",
--- a/Source/Log/EventCatalogue.h
+++ b/Source/Log/EventCatalogue.h
@@ -109,6 +109,7 @@
     StoreUnavailable = 901,
     StoreRecovered = 902,
     RowMalformed = 903,
+    StoreRestored = 904,
 
     OperatorChange = 1001,
     OperatorRejected = 1002,
--- a/Source/Node/DirectoryTask.cpp
+++ b/Source/Node/DirectoryTask.cpp
@@ -30,6 +30,18 @@
     };
 }
 
+std::vector<StoredRow> decodeRows(const std::vector<TableRow>& rows)
+{
+    std::vector<StoredRow> stored;
+    for (auto& it : rows) {
+        if (auto row = decodeNodeRow(it.value))
+            stored.push_back({ .key = it.key, .row = std::move(*row), .version = it.version });
+        else
+            logEvent(Event::RowMalformed, { { "key", it.key } });
+    }
+    return stored;
+}
+
 } // namespace
 
 DirectoryTask::DirectoryTask(NodeContext& context)
@@ -109,6 +121,7 @@
     std::vector<FollowerAction> actions;
     if (snapshot) {
         updateStoreReachability(true, "configuration", {});
+        noteEra(snapshot.value().position.era);
         if (snapshot.value().document)
             applyDocument(*snapshot.value().document, "store");
         m_follower.sourceAnswered(snapshot.value().position, steadyNow(), actions);
@@ -232,7 +245,7 @@
 
 void DirectoryTask::perform(const ReadRows&)
 {
-    m_store.rows->list(rowTable, guarded([this](Instant, const StoreResult<std::vector<TableRow>>& rows) {
+    m_store.rows->list(rowTable, guarded([this](Instant, const StoreResult<ListedRows>& rows) {
         updateStoreReachability(rows.has_value(), "row-list", rows ? std::string_view() : toText(rows.error().code));
         if (rows)
             rowsListed(rows.value());
@@ -245,30 +258,32 @@
 void DirectoryTask::perform(const WriteRow& action)
 {
     m_store.rows->put(rowTable, rowKey(m_context), encodeNodeRow(action.row), action.expectedVersion,
-        guarded([this](Instant, const StoreResult<uint64_t>& version) {
-            bool isConflict = !version && version.error().code == StoreErrorCode::Conflict;
+        guarded([this](Instant, const StoreResult<StoredVersion>& stored) {
+            bool isConflict = !stored && stored.error().code == StoreErrorCode::Conflict;
             updateStoreReachability(
-                version || isConflict, "row-write", version ? std::string_view() : toText(version.error().code));
-            if (version)
-                m_rows.written(version.value());
-            else
+                stored || isConflict, "row-write", stored ? std::string_view() : toText(stored.error().code));
+            if (stored) {
+                noteEra(stored.value().era);
+                m_rows.written(stored.value().version);
+            } else
                 m_rows.writeFailed(isConflict ? WriteFailure::Conflict : WriteFailure::Unknown, steadyNow());
             completeDepartures();
             tickRows();
         }));
 }
 
-void DirectoryTask::rowsListed(const std::vector<TableRow>& rows)
+void DirectoryTask::noteEra(uint64_t era)
 {
-    std::vector<StoredRow> stored;
-    for (auto& it : rows) {
-        if (auto row = decodeNodeRow(it.value))
-            stored.push_back({ .key = it.key, .row = std::move(*row), .version = it.version });
-        else
-            logEvent(Event::RowMalformed, { { "key", it.key } });
-    }
+    if (m_storeEra && era > m_storeEra)
+        logEvent(Event::StoreRestored, { { "era", std::to_string(era) }, { "before", std::to_string(m_storeEra) } });
+    m_storeEra = std::max(m_storeEra, era);
+}
+
+void DirectoryTask::rowsListed(const ListedRows& listed)
+{
+    noteEra(listed.era);
     Instant now = steadyNow();
-    RowsRead found = m_rows.rowsRead(stored, now);
+    RowsRead found = m_rows.rowsRead(decodeRows(listed.rows), now);
     m_context.status.isRowRead = true;
     logEvent(Event::SeedsFound,
         { { "seeds", std::to_string(found.peers.size()) },
--- a/Source/Node/DirectoryTask.h
+++ b/Source/Node/DirectoryTask.h
@@ -43,7 +43,9 @@
     void perform(const ReadRows&);
     void perform(const WriteRow&);
     void tickRows();
-    void rowsListed(const std::vector<TableRow>&);
+    void rowsListed(const ListedRows&);
+    // Called with each response of the store before its content is used.
+    void noteEra(uint64_t era);
     void completeDepartures();
 
     void updateStoreReachability(bool isReachable, std::string_view operation, std::string_view reason);
@@ -60,6 +62,7 @@
     bool m_isReaderRoleSet { false };
     Timer m_timer;
     NodeRegistrar m_rows;
+    uint64_t m_storeEra { 0 };
     // When the rows were read for the first time.
     std::optional<Instant> m_seedsFoundAt;
     // Callbacks to invoke once the row of this node is durable.
--- a/Source/Node/NodeAdapter.h
+++ b/Source/Node/NodeAdapter.h
@@ -2,6 +2,7 @@
 // the node runs in.
 #pragma once
 
+#include "Configuration/Configuration.h"
 #include "Node/Dialect.h"
 #include "Settings/Settings.h"
 #include "Store/Store.h"
@@ -17,14 +18,27 @@
 namespace Berylport {
 
 // Durable key-value rows that the nodes write.
+//
+// Each result names the era of the store, which rises each time the store has lost changes that it had acknowledged;
+// zero if the store does not tell. Row versions of an earlier era may be given out again.
+struct ListedRows {
+    std::vector<TableRow> rows;
+    uint64_t era { 0 };
+};
+
+struct StoredVersion {
+    uint64_t version { 0 };
+    uint64_t era { 0 };
+};
+
 class RowStore {
 public:
     virtual ~RowStore() = default;
-    virtual void list(std::string table, Completion<std::vector<TableRow>>) = 0;
+    virtual void list(std::string table, Completion<ListedRows>) = 0;
     // Conditional write: fails with Conflict unless the row has the expected version; zero means that the row must not
     // exist. Completes with the new version.
     virtual void put(
-        std::string table, std::string key, std::string value, uint64_t expectedVersion, Completion<uint64_t>)
+        std::string table, std::string key, std::string value, uint64_t expectedVersion, Completion<StoredVersion>)
         = 0;
 };
 
@@ -32,7 +46,7 @@
 struct ConfigurationSnapshot {
     // Absent if the document has not changed since the requested position, or was never written.
     std::optional<std::string> document;
-    uint64_t position { 0 };
+    SourcePosition position;
 };
 
 class ConfigurationSource {
--- a/Source/Store/HttpStoreClient.cpp
+++ b/Source/Store/HttpStoreClient.cpp
@@ -210,7 +210,11 @@
         auto* buffer = evhttp_request_get_input_buffer(message);
         std::string body(evbuffer_get_length(buffer), '\0');
         evbuffer_copyout(buffer, body.data(), body.size());
-        request.owner->finishStarted(request, StoreAnswer { .status = status, .body = std::move(body) });
+        std::vector<HttpHeader> headers;
+        for (auto* it = evhttp_request_get_input_headers(message)->tqh_first; it; it = it->next.tqe_next)
+            headers.push_back({ .name = it->key, .value = it->value });
+        request.owner->finishStarted(
+            request, StoreAnswer { .status = status, .body = std::move(body), .headers = std::move(headers) });
     }
 
     static void onTimeout(evutil_socket_t, short, void* argument)
--- a/Source/Store/HttpStoreClient.h
+++ b/Source/Store/HttpStoreClient.h
@@ -1,6 +1,7 @@
 // HTTP transport shared by the clients of both stores: bounded, with a timeout and a circuit breaker.
 #pragma once
 
+#include "Base/HttpMessage.h"
 #include "Store/HttpClientOptions.h"
 #include "Store/StoreError.h"
 #include "Store/StoreMessages.h"
@@ -12,6 +13,7 @@
 #include <string_view>
 #include <utility>
 #include <variant>
+#include <vector>
 
 struct event_base;
 
@@ -21,6 +23,7 @@
 struct StoreAnswer {
     int status { 0 };
     std::string body;
+    std::vector<HttpHeader> headers {};
 };
 
 // No answer.
--- a/tests/Configuration/SourceFollowerTest.cpp
+++ b/tests/Configuration/SourceFollowerTest.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+SourcePosition at(uint64_t version, uint64_t era = 1) { return { .era = era, .version = version }; }
+
 class SourceFollowerTest : public testing::Test {
 protected:
     template <typename Action> std::vector<Action> take()
@@ -38,22 +40,22 @@
 {
     m_follower.start(m_now, m_actions);
     EXPECT_EQ(take<ReadSource>().size(), 1u);
-    m_follower.sourceAnswered(40, m_now, m_actions);
+    m_follower.sourceAnswered(at(40), m_now, m_actions);
     EXPECT_EQ(take<FollowSource>().at(0).position, 40u);
-    m_follower.sourceAnswered(45, m_now, m_actions);
+    m_follower.sourceAnswered(at(45), m_now, m_actions);
     EXPECT_EQ(take<FollowSource>().at(0).position, 45u);
 }
 
 // Following must go on where it stopped, or a change during the outage would be lost.
 TEST_F(SourceFollowerTest, AfterAnOutageItFollowsFromTheSamePosition)
 {
-    m_follower.sourceAnswered(40, m_now, m_actions);
+    m_follower.sourceAnswered(at(40), m_now, m_actions);
     m_actions.clear();
     m_follower.sourceFailed(m_now);
     EXPECT_FALSE(m_follower.isSourceReachable());
     advance(1s);
     EXPECT_EQ(take<FollowSource>().at(0).position, 40u);
-    m_follower.sourceAnswered(41, m_now, m_actions);
+    m_follower.sourceAnswered(at(41), m_now, m_actions);
     EXPECT_TRUE(m_follower.isSourceReachable());
 }
 
@@ -61,7 +63,7 @@
 TEST_F(SourceFollowerTest, RetriesAtMostAboutTwiceASecondAndAtLeastOnceASecond)
 {
     int asked = 0;
-    m_follower.sourceAnswered(1, m_now, m_actions);
+    m_follower.sourceAnswered(at(1), m_now, m_actions);
     m_actions.clear();
     m_follower.sourceFailed(m_now);
     for (Duration passed {}; passed < 20s; passed += 10ms) {
@@ -77,7 +79,7 @@
 
 TEST_F(SourceFollowerTest, ForgottenHistoryIsReadAsAWhole)
 {
-    m_follower.sourceAnswered(40, m_now, m_actions);
+    m_follower.sourceAnswered(at(40), m_now, m_actions);
     m_actions.clear();
     m_follower.historyTruncated(m_now, m_actions);
     advance(1s);
@@ -88,7 +90,7 @@
 TEST_F(SourceFollowerTest, ANodeThatIsNoReaderAsksRarelyAndFollowsAgainAsAReader)
 {
     m_follower.setReader(false, m_now);
-    m_follower.sourceAnswered(40, m_now, m_actions);
+    m_follower.sourceAnswered(at(40), m_now, m_actions);
     EXPECT_TRUE(m_actions.empty());
     int asked = 0;
     for (Duration passed {}; passed < 60s; passed += 100ms) {
@@ -96,7 +98,7 @@
         for (auto& it : take<FollowSource>()) {
             EXPECT_EQ(it.wait, Duration::zero());
             ++asked;
-            m_follower.sourceAnswered(40, m_now, m_actions);
+            m_follower.sourceAnswered(at(40), m_now, m_actions);
         }
     }
     EXPECT_GE(asked, 3);
@@ -111,7 +113,7 @@
 {
     m_follower.setReader(false, m_now);
     m_follower.adopt(7);
-    m_follower.sourceAnswered(40, m_now, m_actions);
+    m_follower.sourceAnswered(at(40), m_now, m_actions);
     int asked = 0;
     auto passMinutes = [&](int minutes, bool hearsPeers) {
         for (Duration passed {}; passed < minutes * 60s; passed += 100ms) {
@@ -120,7 +122,7 @@
             advance(100ms);
             if (!take<ReadSource>().empty()) {
                 ++asked;
-                m_follower.sourceAnswered(40, m_now, m_actions);
+                m_follower.sourceAnswered(at(40), m_now, m_actions);
             }
         }
     };
--- a/tests/PlatformAdapter/FakeStore.h
+++ b/tests/PlatformAdapter/FakeStore.h
@@ -36,6 +36,15 @@
         auto it = m_rows.find({ table, key });
         return it == m_rows.end() ? "" : it->second.value;
     }
+    // The store comes back from an older copy: what was written since is gone, and versions are given out again.
+    void copy() { m_copy = { .rows = m_rows, .version = m_version }; }
+    void restore()
+    {
+        m_rows = m_copy.rows;
+        m_version = m_copy.version;
+        ++m_era;
+        m_followers.clear();
+    }
     void forgetHistory() { m_forgottenUpTo = ++m_version; }
 
     // Instead of any answer; zero for none.
@@ -74,13 +83,24 @@
         return n;
     }
 
+    struct Copy {
+        std::map<std::pair<std::string, std::string>, Row> rows;
+        uint64_t version { 0 };
+    };
+
+    void answer(const Responder& responder, HttpResponse response) const
+    {
+        response.headers.push_back({ .name = "Store-Era", .value = std::to_string(m_era) });
+        responder.answer(std::move(response));
+    }
+
     void serve(const HttpRequest& request, const Responder& responder)
     {
         ++calls;
         if (isSilent)
             m_unanswered.push_back(responder);
         else if (status)
-            responder.answer({ .status = status });
+            answer(responder, { .status = status });
         else if (request.target.starts_with("/-/rows-get"))
             answerRows(parameter(request.target, "table-name"), parameter(request.target, "start-key"), responder);
         else if (request.target.starts_with("/-/rows-feed"))
@@ -88,7 +108,7 @@
         else if (request.target.starts_with("/-/rows-tx"))
             transact(request.body, responder);
         else
-            responder.answer({ .status = 404 });
+            answer(responder, { .status = 404 });
     }
 
     void transact(const std::string& body, const Responder& responder)
@@ -97,7 +117,7 @@
         for (auto& it : json->root().field("expect").items()) {
             auto row = m_rows.find({ it.field("table-name").text().value_or(""), it.field("key").text().value_or("") });
             if (it.field("schema-ver").whole() != (row == m_rows.end() ? 0 : row->second.version)) {
-                responder.answer({ .status = 412 });
+                answer(responder, { .status = 412 });
                 return;
             }
         }
@@ -107,7 +127,7 @@
             write(it.field("table-name").text().value_or(""), it.field("key").text().value_or(""),
                 std::string(reinterpret_cast<const char*>(value.begin()), value.size()));
         }
-        responder.answer({ .status = 200, .body = R"({"schema-ver":)" + std::to_string(m_version) + "}" });
+        answer(responder, { .status = 200, .body = R"({"schema-ver":)" + std::to_string(m_version) + "}" });
     }
 
     std::string encode(const std::string& table, const std::string& key, const Row& row) const
@@ -120,9 +140,10 @@
 
     void answerPage(const std::string& rows, bool hasMore, const Responder& responder) const
     {
-        responder.answer({ .status = 200,
-            .body = R"({"rows":[)" + rows + R"(],"has-more":)" + (hasMore ? "true" : "false") + R"(,"schema-ver":)"
-                + std::to_string(m_version) + R"(,"now-s":1.5})" });
+        answer(responder,
+            { .status = 200,
+                .body = R"({"rows":[)" + rows + R"(],"has-more":)" + (hasMore ? "true" : "false") + R"(,"schema-ver":)"
+                    + std::to_string(m_version) + R"(,"now-s":1.5})" });
     }
 
     void answerRows(const std::string& table, const std::string& start, const Responder& responder) const
@@ -139,8 +160,8 @@
 
     void answerFeed(const std::string& table, uint64_t after, const Responder& responder)
     {
-        if (after < m_forgottenUpTo) {
-            responder.answer({ .status = 410 });
+        if (after < m_forgottenUpTo || after > m_version) {
+            answer(responder, { .status = 410 });
             return;
         }
         std::map<uint64_t, std::string> changes;
@@ -162,6 +183,8 @@
     std::vector<Follower> m_followers;
     std::vector<Responder> m_unanswered;
     uint64_t m_version { 0 };
+    uint64_t m_era { 1 };
+    Copy m_copy;
     uint64_t m_forgottenUpTo { 0 };
     HttpServer m_server;
     Endpoint m_endpoint;
--- a/tests/PlatformAdapter/StoreTest.cpp
+++ b/tests/PlatformAdapter/StoreTest.cpp
@@ -27,12 +27,18 @@
         EXPECT_TRUE(runUntil([&] { return result.has_value(); }));
         return *std::exchange(result, std::nullopt);
     }
-    StoreResult<std::vector<TableRow>> list()
+    StoreResult<ListedRows> list()
     {
-        std::optional<StoreResult<std::vector<TableRow>>> result;
+        std::optional<StoreResult<ListedRows>> result;
         m_ports.rows->list("nodes", into(result));
         return wait(result);
     }
+    StoreResult<StoredVersion> put(const std::string& key, const std::string& value, uint64_t expected)
+    {
+        std::optional<StoreResult<StoredVersion>> written;
+        m_ports.rows->put("nodes", key, value, expected, into(written));
+        return wait(written);
+    }
     StoreResult<ConfigurationSnapshot> follow(uint64_t position)
     {
         std::optional<StoreResult<ConfigurationSnapshot>> result;
@@ -55,30 +61,23 @@
 
 TEST_F(StoreTest, RowsComeBackAsTheyWereWritten)
 {
-    std::optional<StoreResult<uint64_t>> written;
-    m_ports.rows->put("nodes", "sidecar-\"a\" 1", "text with \n and \x01", 0, into(written));
-    EXPECT_TRUE(wait(written).has_value());
-    auto rows = list();
-    ASSERT_EQ(rows.value().size(), 1u);
-    EXPECT_EQ(rows.value()[0].key, "sidecar-\"a\" 1");
-    EXPECT_EQ(rows.value()[0].value, "text with \n and \x01");
+    EXPECT_TRUE(put("sidecar-\"a\" 1", "text with \n and \x01", 0).has_value());
+    auto rows = list().value().rows;
+    ASSERT_EQ(rows.size(), 1u);
+    EXPECT_EQ(rows[0].key, "sidecar-\"a\" 1");
+    EXPECT_EQ(rows[0].value, "text with \n and \x01");
 }
 
 // A write that the store carries out late must not undo a newer one, such as the departure of a target.
 TEST_F(StoreTest, AWriteWithAnOlderVersionIsAConflict)
 {
-    auto put = [&](const std::string& value, uint64_t expected) {
-        std::optional<StoreResult<uint64_t>> written;
-        m_ports.rows->put("nodes", "vm", value, expected, into(written));
-        return wait(written);
-    };
-    auto first = put("one", 0);
+    auto first = put("vm", "one", 0);
     ASSERT_TRUE(first.has_value());
-    auto second = put("two", first.value());
+    auto second = put("vm", "two", first.value().version);
     ASSERT_TRUE(second.has_value());
-    EXPECT_GT(second.value(), first.value());
-    EXPECT_EQ(put("late", 0).error().code, StoreErrorCode::Conflict);
-    EXPECT_EQ(put("late", first.value()).error().code, StoreErrorCode::Conflict);
+    EXPECT_GT(second.value().version, first.value().version);
+    EXPECT_EQ(put("vm", "late", 0).error().code, StoreErrorCode::Conflict);
+    EXPECT_EQ(put("vm", "late", first.value().version).error().code, StoreErrorCode::Conflict);
     EXPECT_EQ(m_store.read("nodes", "vm"), "two");
 }
 
@@ -89,7 +88,33 @@
     for (int n = 0; n < 7; ++n)
         m_store.write("nodes", "n" + std::to_string(n), "x");
     m_store.write("other", "m", "x");
-    EXPECT_EQ(list().value().size(), 7u);
+    EXPECT_EQ(list().value().rows.size(), 7u);
+}
+
+TEST_F(StoreTest, EveryResultNamesTheEraOfTheStore)
+{
+    m_store.write("op", "config", "one");
+    m_store.copy();
+    m_store.write("op", "config", "two");
+    EXPECT_EQ(read().value().position.era, 1u);
+    m_store.restore();
+    EXPECT_EQ(read().value().position.era, 2u);
+    EXPECT_EQ(read().value().document, "one");
+    EXPECT_EQ(put("vm", "row", 0).value().era, 2u);
+    EXPECT_EQ(list().value().era, 2u);
+    m_store.write("op", "config", "three");
+    auto followed = follow(1);
+    ASSERT_TRUE(followed.has_value());
+    EXPECT_EQ(followed.value().position.era, 2u);
+}
+
+TEST_F(StoreTest, AVersionThatTheRestoredStoreDoesNotHaveIsLostHistory)
+{
+    m_store.copy();
+    m_store.write("op", "config", "one");
+    auto position = read().value().position.version;
+    m_store.restore();
+    EXPECT_EQ(follow(position).error().code, StoreErrorCode::HistoryLost);
 }
 
 TEST_F(StoreTest, AChangeAnswersTheFollowerWithTheNewestDocument)
@@ -98,13 +123,13 @@
     auto first = read();
     EXPECT_EQ(first.value().document, "one");
     std::optional<StoreResult<ConfigurationSnapshot>> result;
-    m_ports.configuration->follow(first.value().position, 5s, into(result));
+    m_ports.configuration->follow(first.value().position.version, 5s, into(result));
     runFor(50ms);
     EXPECT_FALSE(result);
     m_store.write("op", "unrelated", "x");
     EXPECT_EQ(wait(result).value().document, std::nullopt);
     m_store.write("op", "config", "two");
-    EXPECT_EQ(follow(first.value().position).value().document, "two");
+    EXPECT_EQ(follow(first.value().position.version).value().document, "two");
 }
 
 TEST_F(StoreTest, EachRefusalHasItsOwnError)
