Follow the configuration across a restored store

After the store came back from an older copy, a node could miss a confirmed change until it read the whole document again, a minute later for most nodes.

Cause: a position in the history was a version alone. A restored store gives versions out again. When other writes have carried it past the version that a node follows from, the feed is answered as usual and leaves out the changes of the new era up to there; when it stands exactly there, a long poll waits although the document has changed. Class of fault: a version used as an identity after its source has lost state.

A position belongs to an era now. When a response tells another era than the last one, the position is dropped, and a response to a follow is not continued from: the document is read as a whole. After a failure the first request does not wait for a change, because only a response shows the era. An era of zero tells nothing, and a lower era is followed like any other, so that one wrong era does not stop a node for good.

Seen to fail with the era ignored: AChangeBelowAVersionThatIsGivenOutAgainIsNotMissed, TheFirstRequestAfterAnOutageDoesNotWaitForAChange, ASourceThatTellsNoEraIsFollowedAsBefore, ALowerEraIsFollowed.

--- a/Source/Configuration/SourceFollower.cpp
+++ b/Source/Configuration/SourceFollower.cpp
@@ -5,16 +5,39 @@
 
 namespace Berylport {
 
-void SourceFollower::start(Instant, std::vector<FollowerAction>& actions) { actions.push_back(ReadSource {}); }
+void SourceFollower::start(Instant, std::vector<FollowerAction>& actions) { read(actions); }
+
+void SourceFollower::read(std::vector<FollowerAction>& actions)
+{
+    m_isFollowing = false;
+    actions.push_back(ReadSource {});
+}
+
+void SourceFollower::follow(Duration wait, std::vector<FollowerAction>& actions)
+{
+    m_isFollowing = true;
+    actions.push_back(FollowSource { .position = *m_position, .wait = wait });
+}
 
 void SourceFollower::sourceAnswered(const SourcePosition& position, Instant now, std::vector<FollowerAction>& actions)
 {
     m_failures = 0;
     m_lastSourceResponseAt = now;
     m_retryAt.reset();
+    // One request is in flight at a time, so this response is newer than the one that told the other era.
+    bool isRestored = position.era && position.era != m_era;
+    if (isRestored) {
+        m_era = position.era;
+        m_position.reset();
+    }
+    // The request named a version of the earlier era, so changes of this era below that version may be missing.
+    if (isRestored && m_isFollowing) {
+        read(actions);
+        return;
+    }
     m_position = std::max(position.version, m_position.value_or(0));
     if (m_isReader) {
-        actions.push_back(FollowSource { .position = *m_position, .wait = m_options.longPollTimeout });
+        follow(m_options.longPollTimeout, actions);
         return;
     }
     schedulePoll(now);
@@ -96,11 +119,13 @@
     // The source may have truncated its history by then; reading the full document also costs only one call.
     if (m_lastSourceResponseAt && now - *m_lastSourceResponseAt > 2 * m_options.pollInterval)
         m_position.reset();
+    // After a failure the source may have been restored. Only a response shows its era, so the first request does not
+    // wait for a change.
+    bool mayWait = m_isReader && !m_failures;
     if (m_position)
-        actions.push_back(FollowSource {
-            .position = *m_position, .wait = m_isReader ? m_options.longPollTimeout : Duration::zero() });
+        follow(mayWait ? m_options.longPollTimeout : Duration::zero(), actions);
     else
-        actions.push_back(ReadSource {});
+        read(actions);
 }
 
 } // namespace Berylport
--- a/Source/Configuration/SourceFollower.h
+++ b/Source/Configuration/SourceFollower.h
@@ -26,6 +26,7 @@
 
 // Long poll: ask the source to respond when something changes after the position.
 struct FollowSource {
+    // Version of the latest era.
     uint64_t position { 0 };
     Duration wait {};
 };
@@ -90,14 +91,20 @@
     std::optional<Instant> nextWake() const { return m_retryAt; }
 
 private:
+    void follow(Duration wait, std::vector<FollowerAction>&);
+    void read(std::vector<FollowerAction>&);
     void schedulePoll(Instant now);
     bool canSkipPoll(Instant now) const;
 
     Options m_options;
     Random m_random;
     uint64_t m_version { 0 };
-    // Position to resume from; unset while the full document has to be read.
+    // Era of the latest response that told one.
+    uint64_t m_era { 0 };
+    // Version of that era to resume from; unset while the full document has to be read.
     std::optional<uint64_t> m_position;
+    // The request in flight, if any, is a FollowSource.
+    bool m_isFollowing { false };
     bool m_isReader { true };
     // No request to the source is in flight; the next poll is due at m_retryAt.
     bool m_isPollScheduled { false };
--- a/tests/Configuration/SourceFollowerTest.cpp
+++ b/tests/Configuration/SourceFollowerTest.cpp
@@ -1,7 +1,12 @@
 // Guards against a node that misses a change, floods a store that is down, or goes back to an older configuration.
 #include "Configuration/Configuration.h"
 
+#include "Base/Random.h"
+
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
 
 using namespace Berylport;
 using namespace std::chrono_literals;
@@ -160,3 +165,171 @@
     m_follower.peerVersionReported(NodeId { 3 }, 8, m_now, m_actions);
     EXPECT_EQ(take<FetchFromPeer>().at(0).node, NodeId { 3 });
 }
+
+TEST_F(SourceFollowerTest, AChangeBelowAVersionThatIsGivenOutAgainIsNotMissed)
+{
+    m_follower.start(m_now, m_actions);
+    m_follower.sourceAnswered(at(50), m_now, m_actions);
+    EXPECT_EQ(take<FollowSource>().at(0).position, 50u);
+    // Restored to version 40; the change has version 45, and others follow. The answer holds only what came after 50.
+    m_follower.sourceAnswered(at(53, 2), m_now, m_actions);
+    EXPECT_EQ(take<ReadSource>().size(), 1u);
+    m_follower.sourceAnswered(at(53, 2), m_now, m_actions);
+    EXPECT_EQ(take<FollowSource>().at(0).position, 53u);
+}
+
+TEST_F(SourceFollowerTest, AfterARestoreItFollowsFromTheLowerVersion)
+{
+    m_follower.sourceAnswered(at(50), m_now, m_actions);
+    m_actions.clear();
+    m_follower.historyTruncated(m_now, m_actions);
+    advance(1s);
+    EXPECT_EQ(take<ReadSource>().size(), 1u);
+    m_follower.sourceAnswered(at(41, 2), m_now, m_actions);
+    EXPECT_EQ(take<FollowSource>().at(0).position, 41u);
+}
+
+// A version that is given out again for the change that was missed leaves nothing to wait for.
+TEST_F(SourceFollowerTest, TheFirstRequestAfterAnOutageDoesNotWaitForAChange)
+{
+    m_follower.sourceAnswered(at(50), m_now, m_actions);
+    EXPECT_GT(take<FollowSource>().at(0).wait, 0s);
+    m_follower.sourceFailed(m_now);
+    advance(1s);
+    EXPECT_EQ(take<FollowSource>().at(0).wait, 0s);
+    m_follower.sourceAnswered(at(50, 2), m_now, m_actions);
+    EXPECT_EQ(take<ReadSource>().size(), 1u);
+}
+
+TEST_F(SourceFollowerTest, ASourceThatTellsNoEraIsFollowedAsBefore)
+{
+    m_follower.start(m_now, m_actions);
+    m_follower.sourceAnswered(at(40, 0), m_now, m_actions);
+    m_follower.sourceAnswered(at(41, 0), m_now, m_actions);
+    m_actions.clear();
+    m_follower.sourceAnswered(at(42, 2), m_now, m_actions);
+    EXPECT_EQ(take<ReadSource>().size(), 1u);
+    m_follower.sourceAnswered(at(42, 2), m_now, m_actions);
+    m_actions.clear();
+    m_follower.sourceAnswered(at(43, 0), m_now, m_actions);
+    EXPECT_EQ(take<FollowSource>().at(0).position, 43u);
+}
+
+// An era that is too high, once, must not stop a node from following for good.
+TEST_F(SourceFollowerTest, ALowerEraIsFollowed)
+{
+    m_follower.start(m_now, m_actions);
+    m_follower.sourceAnswered(at(41, 1'000'000), m_now, m_actions);
+    m_actions.clear();
+    m_follower.sourceAnswered(at(42, 2), m_now, m_actions);
+    EXPECT_EQ(take<ReadSource>().size(), 1u);
+    m_follower.sourceAnswered(at(42, 2), m_now, m_actions);
+    EXPECT_EQ(take<FollowSource>().at(0).position, 42u);
+}
+
+namespace {
+
+// A source whose changes may be lost, with one document among other rows.
+struct RestoredSource {
+    struct State {
+        uint64_t version { 0 };
+        uint64_t document { 0 };
+        uint64_t documentVersion { 0 };
+        uint64_t truncatedTo { 0 };
+    };
+
+    void writeOther() { ++state.version; }
+    void writeDocument(uint64_t document)
+    {
+        state.document = document;
+        state.documentVersion = ++state.version;
+    }
+    void restore()
+    {
+        state = copy;
+        ++era;
+    }
+
+    State state;
+    State copy;
+    uint64_t era { 1 };
+};
+
+} // namespace
+
+RC_GTEST_PROP(SourceFollowerProperty, TheNewestDocumentIsFoundThroughAnyRestores, (uint64_t seed))
+{
+    Random random(seed);
+    RestoredSource source;
+    SourceFollower follower({ .seed = seed });
+    Instant now = instantFromMicroseconds(0);
+    std::vector<FollowerAction> actions;
+    uint64_t newest = 0;
+    bool isDown = false;
+    // Answers one request as the source would at this moment. A follow without a change stays open.
+    auto serve = [&] {
+        for (auto& it : std::exchange(actions, {})) {
+            if (isDown) {
+                follower.sourceFailed(now);
+                continue;
+            }
+            auto* follow = std::get_if<FollowSource>(&it);
+            if (follow && (follow->position > source.state.version || follow->position < source.state.truncatedTo)) {
+                follower.historyTruncated(now, actions);
+                continue;
+            }
+            if (follow && follow->wait > Duration::zero() && follow->position == source.state.version) {
+                actions.push_back(it);
+                continue;
+            }
+            if (source.state.document && (!follow || source.state.documentVersion > follow->position))
+                follower.adopt(source.state.document);
+            follower.sourceAnswered({ .era = source.era, .version = source.state.version }, now, actions);
+        }
+    };
+    follower.start(now, actions);
+    for (int n = 0; n < 300; ++n) {
+        now += Duration(static_cast<int64_t>(random.below(300'000)));
+        switch (random.below(8)) {
+        case 0:
+            if (!isDown)
+                source.writeDocument(++newest);
+            break;
+        case 1:
+            source.copy = source.state;
+            break;
+        case 2:
+            isDown = !isDown;
+            // Open requests are cut off with the source.
+            if (isDown && !actions.empty()) {
+                actions.clear();
+                follower.sourceFailed(now);
+            } else if (!isDown && random.chance(0.5)) {
+                source.restore();
+                // The operator writes again what was lost, at any distance from other writes.
+                for (uint64_t others = random.below(12); others; --others)
+                    source.writeOther();
+                if (source.state.document != newest)
+                    source.writeDocument(newest);
+            }
+            break;
+        case 3:
+            source.state.truncatedTo = source.state.version;
+            break;
+        default:
+            if (!isDown)
+                source.writeOther();
+        }
+        serve();
+        follower.tick(now, actions);
+        serve();
+    }
+    isDown = false;
+    for (int n = 0; n < 40; ++n) {
+        now += 100ms;
+        serve();
+        follower.tick(now, actions);
+        serve();
+    }
+    RC_ASSERT(follower.version() == newest);
+}
