Write a node's row again that a restored store has lost

After the store came back from an older copy, the row of a node that had started since, or the departure of a target in it, was gone, and nobody wrote it again: the node took an acknowledged write for durable for good. The next process on the VM would use a departed target again if the members were restarted too, and nodes that start find no such VM in the rows.

Cause and class of fault: an acknowledgement counted as final without the era in which it was given.

NodeRegistrar drops what it knows of its row when a new era is seen, reads its own row (one row instead of the table) and writes it if it differs. A write or a read whose answer is of an earlier era than the one seen meanwhile counts as unknown. Few nodes call the store, so the era travels in gossip; each node reads its row within a random four seconds. An era that only a member tells, and that the store contradicts, costs one read.

Seen to fail without it: FleetStart.ARowLostInARestoreIsWrittenAgain, ADepartureLostInARestoreIsWrittenAgain, AWriteAcknowledgedBeforeARestoreIsNotTakenForDurable. MembershipService.EveryMemberLearnsTheEraOfTheStore is new with the gossip.

--- a/Source/Base/GossipMessages.h
+++ b/Source/Base/GossipMessages.h
@@ -85,6 +85,8 @@
     // Buckets below gossipBucketCount whose records the sender asks for.
     std::vector<uint8_t> requestedBuckets;
     std::optional<CoordinatorInfo> coordinator;
+    // Latest era of the shared store that the sender knows of; zero for none.
+    uint64_t storeEra { 0 };
     bool operator==(const GossipContent&) const = default;
 };
 
--- a/Source/Membership/MembershipService.cpp
+++ b/Source/Membership/MembershipService.cpp
@@ -161,6 +161,10 @@
     }
     if (content.coordinator)
         learnCoordinator(*content.coordinator, actions);
+    if (content.storeEra <= m_storeEra)
+        return;
+    m_storeEra = content.storeEra;
+    actions.push_back(StoreEraLearned { .era = m_storeEra });
 }
 
 void MembershipService::checkDeadSender(NodeId sender)
@@ -514,6 +518,7 @@
 GossipContent MembershipService::makeContent(NodeId receiver)
 {
     GossipContent content;
+    content.storeEra = m_storeEra;
     content.records.push_back(m_table.self());
     size_t bytes = estimateBytes(m_table.self());
     auto append = [&](const MemberRecord& record) {
--- a/Source/Membership/MembershipService.h
+++ b/Source/Membership/MembershipService.h
@@ -55,6 +55,11 @@
     uint64_t version { 0 };
 };
 
+// A member knows a later era of the shared store.
+struct StoreEraLearned {
+    uint64_t era { 0 };
+};
+
 struct CoordinatorLearned {
     CoordinatorInfo coordinator;
 };
@@ -65,7 +70,7 @@
 };
 
 using MembershipAction = std::variant<SendGossip, MemberEvent, MembersChanged, DeclaredDead, ContactChanged,
-    PeerVersionSeen, CoordinatorLearned, PredecessorDepartureLearned>;
+    PeerVersionSeen, StoreEraLearned, CoordinatorLearned, PredecessorDepartureLearned>;
 using MembershipActions = std::vector<MembershipAction>;
 
 struct MembershipOptions {
@@ -119,6 +124,8 @@
     // Notifies a few members of this node's zone and the zone's coordinator immediately when the version is new.
     void setConfigurationVersion(uint64_t, Instant now, MembershipActions&);
     void setCoordinator(const CoordinatorInfo&);
+    // Every message carries the latest era known.
+    void setStoreEra(uint64_t era) { m_storeEra = std::max(m_storeEra, era); }
     // Publishes the departure in this node's record, so that a later process on this VM learns of it while the store is
     // unavailable.
     void setDeparted(const TargetIncarnation&, MembershipActions&);
@@ -213,6 +220,7 @@
     // can refute.
     std::optional<MemberRecord> m_deadSenderRecord;
     std::optional<TargetIncarnation> m_predecessorDeparture;
+    uint64_t m_storeEra { 0 };
     // Highest version of this node's record that others have declared dead.
     uint64_t m_lastDeclaredDeadVersion { 0 };
     // Ping requests awaiting the probed member's ack, by the sequence number of the relayed ping.
--- a/Source/Node/ConfigurationTask.h
+++ b/Source/Node/ConfigurationTask.h
@@ -27,6 +27,8 @@
     // --- handlers of messages from other tasks
     void handle(PeerVersion&&);
     void handle(RecordDeparture&&);
+    // The native table keeps what it has acknowledged.
+    void handle(StoreEraSeen&&) { }
     void handle(ConfigurationFetched&&);
     void handle(ConfigurationFetchFailed&&);
     void handle(ZoneMembersChanged&&);
--- a/Source/Node/DirectoryTask.cpp
+++ b/Source/Node/DirectoryTask.cpp
@@ -255,6 +255,19 @@
     }));
 }
 
+void DirectoryTask::perform(const ReadOwnRow&)
+{
+    m_store.rows->read(rowTable, rowKey(m_context), guarded([this](Instant, const StoreResult<ListedRows>& rows) {
+        updateStoreReachability(rows.has_value(), "row-read", rows ? std::string_view() : toText(rows.error().code));
+        if (rows)
+            ownRowRead(rows.value());
+        else
+            m_rows.readFailed(steadyNow());
+        completeDepartures();
+        tickRows();
+    }));
+}
+
 void DirectoryTask::perform(const WriteRow& action)
 {
     m_store.rows->put(rowTable, rowKey(m_context), encodeNodeRow(action.row), action.expectedVersion,
@@ -264,7 +277,7 @@
                 stored || isConflict, "row-write", stored ? std::string_view() : toText(stored.error().code));
             if (stored) {
                 noteEra(stored.value().era);
-                m_rows.written(stored.value().version);
+                m_rows.written(stored.value().version, stored.value().era, steadyNow());
             } else
                 m_rows.writeFailed(isConflict ? WriteFailure::Conflict : WriteFailure::Unknown, steadyNow());
             completeDepartures();
@@ -276,22 +289,43 @@
 {
     if (m_storeEra && era > m_storeEra)
         logEvent(Event::StoreRestored, { { "era", std::to_string(era) }, { "before", std::to_string(m_storeEra) } });
-    m_storeEra = std::max(m_storeEra, era);
+    if (era <= m_storeEra)
+        return;
+    m_storeEra = era;
+    m_rows.eraSeen(era, steadyNow());
+    m_context.ports.membership.post(StoreEraSeen { .era = era });
+}
+
+void DirectoryTask::handle(StoreEraSeen&& seen) { noteEra(seen.era); }
+
+void DirectoryTask::ownRowRead(const ListedRows& listed)
+{
+    noteEra(listed.era);
+    auto found = m_rows.rowsRead(decodeRows(listed.rows), listed.era, steadyNow());
+    if (found && found->departed)
+        restoreDeparture(*found->departed);
+}
+
+void DirectoryTask::restoreDeparture(const TargetIncarnation& departed)
+{
+    m_context.ports.target.post(DepartureRestored { .departed = departed, .source = "store" });
+    m_context.ports.membership.post(ReplicateDeparture { .departed = departed });
 }
 
 void DirectoryTask::rowsListed(const ListedRows& listed)
 {
     noteEra(listed.era);
     Instant now = steadyNow();
-    RowsRead found = m_rows.rowsRead(decodeRows(listed.rows), now);
+    auto read = m_rows.rowsRead(decodeRows(listed.rows), listed.era, now);
+    if (!read)
+        return;
+    RowsRead found = std::move(*read);
     m_context.status.isRowRead = true;
     logEvent(Event::SeedsFound,
         { { "seeds", std::to_string(found.peers.size()) },
             { "complete", m_rows.isPeerListComplete() ? "yes" : "no" } });
-    if (found.departed) {
-        m_context.ports.target.post(DepartureRestored { .departed = *found.departed, .source = "store" });
-        m_context.ports.membership.post(ReplicateDeparture { .departed = *found.departed });
-    }
+    if (found.departed)
+        restoreDeparture(*found.departed);
     m_seedsFoundAt = m_seedsFoundAt.value_or(now);
     // Nodes that start later find the row of this node, so this node is the first if there is no other row.
     bool isFirstNode = found.peers.empty() && m_rows.isPeerListComplete();
--- a/Source/Node/DirectoryTask.h
+++ b/Source/Node/DirectoryTask.h
@@ -21,6 +21,7 @@
 private:
     // --- handlers of messages from other tasks
     void handle(PeerVersion&&);
+    void handle(StoreEraSeen&&);
     void handle(ConnectivityChanged&&);
     void handle(ZoneMembersChanged&&);
     void handle(ConfigurationFetched&&);
@@ -41,10 +42,13 @@
     // --- row of this node and seeds
     void perform(std::vector<RowAction>&);
     void perform(const ReadRows&);
+    void perform(const ReadOwnRow&);
     void perform(const WriteRow&);
     void tickRows();
     void rowsListed(const ListedRows&);
-    // Called with each response of the store before its content is used.
+    void ownRowRead(const ListedRows&);
+    void restoreDeparture(const TargetIncarnation&);
+    // Called with each response of the store before its content is used, and with what members know.
     void noteEra(uint64_t era);
     void completeDepartures();
 
--- a/Source/Node/MembershipTask.cpp
+++ b/Source/Node/MembershipTask.cpp
@@ -132,6 +132,8 @@
     perform(actions);
 }
 
+void MembershipTask::handle(StoreEraSeen&& seen) { m_service.setStoreEra(seen.era); }
+
 void MembershipTask::handle(MembershipRefreshRequested&&)
 {
     MembershipActions actions;
@@ -191,6 +193,11 @@
         PeerVersion { .node = seen.node, .version = seen.version, .isOwnZone = isOwnZone });
 }
 
+void MembershipTask::perform(StoreEraLearned&& learned)
+{
+    m_context.ports.configuration.post(StoreEraSeen { .era = learned.era });
+}
+
 void MembershipTask::perform(CoordinatorLearned&&)
 {
     // Nothing to do: the membership service itself uses this information when a version changes.
--- a/Source/Node/MembershipTask.h
+++ b/Source/Node/MembershipTask.h
@@ -21,6 +21,7 @@
     void handle(RemindMembers&&);
     void handle(SeedsFound&&);
     void handle(ReplicateDeparture&&);
+    void handle(StoreEraSeen&&);
     void handle(MembershipRefreshRequested&&);
     void handle(BeginDrain&&);
 
@@ -31,6 +32,7 @@
     void perform(DeclaredDead&&);
     void perform(ContactChanged&&);
     void perform(PeerVersionSeen&&);
+    void perform(StoreEraLearned&&);
     void perform(CoordinatorLearned&&);
     void perform(PredecessorDepartureLearned&&);
     void publishMembers();
--- a/Source/Node/NodeAdapter.h
+++ b/Source/Node/NodeAdapter.h
@@ -35,6 +35,8 @@
 public:
     virtual ~RowStore() = default;
     virtual void list(std::string table, Completion<ListedRows>) = 0;
+    // One row, or none if there is no such row.
+    virtual void read(std::string table, std::string key, Completion<ListedRows>) = 0;
     // Conditional write: fails with Conflict unless the row has the expected version; zero means that the row must not
     // exist. Completes with the new version.
     virtual void put(
--- a/Source/Node/NodeMessages.h
+++ b/Source/Node/NodeMessages.h
@@ -184,11 +184,15 @@
 struct ReplicateDeparture {
     TargetIncarnation departed;
 };
+// An era of the shared store, learned from the store or from a member.
+struct StoreEraSeen {
+    uint64_t era { 0 };
+};
 // A call found no target while the member view may be incomplete.
 struct MembershipRefreshRequested { };
 
 using MembershipMessage = std::variant<TargetsAnnounced, ConfigurationVersionApplied, CoordinatorLeaseAcquired,
-    RemindMembers, SeedsFound, ReplicateDeparture, MembershipRefreshRequested, BeginDrain>;
+    RemindMembers, SeedsFound, ReplicateDeparture, StoreEraSeen, MembershipRefreshRequested, BeginDrain>;
 
 // --- to the configuration task
 
@@ -248,9 +252,9 @@
     std::function<void()> done;
 };
 
-using ConfigurationMessage
-    = std::variant<PeerVersion, RecordDeparture, ConfigurationFetched, ConfigurationFetchFailed, ZoneMembersChanged,
-        ZoneMemberLeft, SelfDeclaredDead, ConnectivityChanged, OperatorChange, ListZones, RetireZone, BeginDrain>;
+using ConfigurationMessage = std::variant<PeerVersion, StoreEraSeen, RecordDeparture, ConfigurationFetched,
+    ConfigurationFetchFailed, ZoneMembersChanged, ZoneMemberLeft, SelfDeclaredDead, ConnectivityChanged, OperatorChange,
+    ListZones, RetireZone, BeginDrain>;
 
 // --- to the patient task
 
--- a/Source/Node/NodeRegistrar.cpp
+++ b/Source/Node/NodeRegistrar.cpp
@@ -24,6 +24,7 @@
 {
     if (m_isReading || m_pendingWrite || now < m_nextAttempt)
         return;
+    m_eraAtCall = m_era;
     if (m_storedVersion && !isDurable()) {
         bool isNewRow = !*m_storedVersion && !m_isFirstWriteDelayed && !m_row.departed;
         if (isNewRow) {
@@ -41,11 +42,33 @@
     if (m_storedVersion && m_isPeerListComplete)
         return;
     m_isReading = true;
-    actions.push_back(ReadRows {});
+    if (m_isPeerListComplete)
+        actions.push_back(ReadOwnRow {});
+    else
+        actions.push_back(ReadRows {});
 }
 
-RowsRead NodeRegistrar::rowsRead(std::span<const StoredRow> rows, Instant)
+void NodeRegistrar::eraSeen(uint64_t era, Instant now)
 {
+    if (era <= m_era)
+        return;
+    bool isRestored = m_era != 0;
+    m_era = era;
+    if (!isRestored)
+        return;
+    m_stored.reset();
+    m_storedVersion.reset();
+    auto spread = static_cast<double>(m_options.restoredReadSpread.count());
+    m_nextAttempt = std::max(m_nextAttempt, now + Duration(static_cast<int64_t>(m_random.unit() * spread)));
+}
+
+std::optional<RowsRead> NodeRegistrar::rowsRead(std::span<const StoredRow> rows, uint64_t era, Instant now)
+{
+    eraSeen(era, now);
+    if (isStale(era)) {
+        readFailed(now);
+        return std::nullopt;
+    }
     m_isReading = false;
     m_failures = 0;
     m_stored.reset();
@@ -73,8 +96,14 @@
     retryLater(now);
 }
 
-void NodeRegistrar::written(uint64_t version)
+void NodeRegistrar::written(uint64_t version, uint64_t era, Instant now)
 {
+    eraSeen(era, now);
+    // The write may be lost.
+    if (isStale(era)) {
+        writeFailed(WriteFailure::Unknown, now);
+        return;
+    }
     m_failures = 0;
     m_stored = std::move(m_pendingWrite);
     m_pendingWrite.reset();
--- a/Source/Node/NodeRegistrar.h
+++ b/Source/Node/NodeRegistrar.h
@@ -18,8 +18,12 @@
 
 namespace Berylport {
 
+// Read the rows of all nodes.
 struct ReadRows { };
 
+// Read only the row of this node.
+struct ReadOwnRow { };
+
 struct WriteRow {
     NodeRow row;
     // Version that the row must have in the store; zero if it must not exist. Prevents a delayed write from replacing a
@@ -27,7 +31,7 @@
     uint64_t expectedVersion { 0 };
 };
 
-using RowAction = std::variant<ReadRows, WriteRow>;
+using RowAction = std::variant<ReadRows, ReadOwnRow, WriteRow>;
 
 struct StoredRow {
     std::string key;
@@ -56,6 +60,8 @@
         // The first write of a new VM is delayed by a random time up to this limit, as the rows of all nodes are in the
         // same store partition and a whole fleet may start at once.
         Duration firstWriteSpread { std::chrono::seconds(1) };
+        // After the store was restored the row is read again with a random delay up to this limit, as all nodes do so.
+        Duration restoredReadSpread { std::chrono::seconds(4) };
         // There is no row of this VM yet, so it is written without a read. If it exists after all, the write fails with
         // a conflict.
         bool isFirstStart { false };
@@ -65,10 +71,14 @@
     NodeRegistrar(const Options&, std::string key, NodeRow self);
 
     void tick(Instant now, std::vector<RowAction>&);
-    RowsRead rowsRead(std::span<const StoredRow>, Instant now);
+    // Results of reads and writes, with the era of the store in which they were carried out. All rows, or only the one
+    // of this node. Returns nothing if the store has been restored since.
+    std::optional<RowsRead> rowsRead(std::span<const StoredRow>, uint64_t era, Instant now);
     void readFailed(Instant now);
-    void written(uint64_t version);
+    void written(uint64_t version, uint64_t era, Instant now);
     void writeFailed(WriteFailure, Instant now);
+    // The store has told its era in any response. After a new one the row is read again, as it may have been lost.
+    void eraSeen(uint64_t era, Instant now);
 
     // Updates the row of this node; written at the next tick, without waiting for a retry delay.
     void setDeparted(const TargetIncarnation&, Instant now);
@@ -78,12 +88,18 @@
     bool isPeerListComplete() const { return m_isPeerListComplete; }
 
 private:
+    // The store was restored while the call that returned this era was in flight.
+    bool isStale(uint64_t era) const { return era < m_era && m_eraAtCall < m_era; }
     void retryLater(Instant now);
 
     Options m_options;
     Random m_random;
     std::string m_key;
     NodeRow m_row;
+    // Latest era of the store; zero while it has not told any.
+    uint64_t m_era { 0 };
+    // The same when the call in flight was made.
+    uint64_t m_eraAtCall { 0 };
     // Row in the store; valid only while its version is known.
     std::optional<NodeRow> m_stored;
     // Zero if there is no row. Unknown before the first read and after a failed write.
--- a/Source/Peer/GossipCodec.cpp
+++ b/Source/Peer/GossipCodec.cpp
@@ -156,6 +156,7 @@
         const auto& buckets = content.requestedBuckets;
         builder.setRequestedBuckets(kj::arrayPtr(buckets.data(), buckets.size()));
     }
+    builder.setStoreEra(content.storeEra);
     if (content.coordinator) {
         auto coordinator = builder.initCoordinator();
         coordinator.setZone(textOf(content.coordinator->zone.text));
@@ -172,6 +173,7 @@
     for (auto it : records)
         content.records.push_back(readRecord(it));
     readDepartures(reader, content.records);
+    content.storeEra = reader.getStoreEra();
     auto digest = reader.getDigest();
     require(!digest.size() || digest.size() == gossipBucketCount, "invalid digest");
     if (digest.size()) {
--- a/Source/Schema/Generated/Gossip.capnp.h
+++ b/Source/Schema/Generated/Gossip.capnp.h
@@ -139,7 +139,7 @@
   struct PingRequest;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b510e4f7c5a5ca63, 4, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(b510e4f7c5a5ca63, 5, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -154,7 +154,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d2c7ff790a23e652, 4, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(d2c7ff790a23e652, 5, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -726,6 +726,8 @@
   inline bool hasDepartures() const;
   inline  ::capnp::List< ::Berylport::Schema::Departure,  ::capnp::Kind::STRUCT>::Reader getDepartures() const;
 
+  inline  ::uint64_t getStoreEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -813,6 +815,9 @@
   inline void adoptDepartures(::capnp::Orphan< ::capnp::List< ::Berylport::Schema::Departure,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Berylport::Schema::Departure,  ::capnp::Kind::STRUCT>> disownDepartures();
 
+  inline  ::uint64_t getStoreEra();
+  inline void setStoreEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1740,6 +1745,20 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t GossipMessage::Reader::getStoreEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GossipMessage::Builder::getStoreEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void GossipMessage::Builder::setStoreEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t GossipMessage::PingRequest::Reader::getTarget() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
--- a/Source/Schema/Gossip.capnp
+++ b/Source/Schema/Gossip.capnp
@@ -73,6 +73,8 @@
   # Absent when the sender knows no coordinator.
   coordinator @6 :Coordinator;
   departures @11 :List(Departure);
+  # Rises each time the shared store has lost changes that it had acknowledged. Zero when the sender knows none.
+  storeEra @12 :UInt64;
   union {
     ping @7 :Void;
     ack @8 :Void;
--- a/tests/Membership/MembershipServiceTest.cpp
+++ b/tests/Membership/MembershipServiceTest.cpp
@@ -3,6 +3,8 @@
 #include "GossipNetwork.h"
 
 #include <gtest/gtest.h>
+
+#include <algorithm>
 #include <set>
 
 using namespace Berylport;
@@ -222,3 +224,23 @@
     // Those of the full bucket and the node itself.
     EXPECT_EQ(learned.size(), 21u);
 }
+
+// Few members ask the store, so the others would not know for a minute that what they wrote may be lost.
+TEST(MembershipService, EveryMemberLearnsTheEraOfTheStore)
+{
+    GossipNetwork network(11);
+    for (int n = 0; n < 12; ++n)
+        network.addNode(n % 2 ? "kandy-a" : "galle-a");
+    network.run(5s);
+    network.service(3).setStoreEra(2);
+    network.service(5).setStoreEra(1);
+    network.run(5s);
+    for (size_t n = 0; n < network.size(); ++n) {
+        auto& events = network.node(n).events;
+        auto learned = std::count_if(events.begin(), events.end(), [](auto& it) {
+            auto* action = std::get_if<StoreEraLearned>(&it);
+            return action && action->era == 2;
+        });
+        EXPECT_EQ(learned, n == 3 ? 0 : 1) << n;
+    }
+}
--- a/tests/Node/FleetSimulation.h
+++ b/tests/Node/FleetSimulation.h
@@ -41,6 +41,21 @@
         m_processes[vm] = std::move(process);
     }
     void kill(size_t vm) { m_processes.erase(vm); }
+    void copyStore() { m_storeCopy = { .rows = m_rows, .version = m_storeVersion }; }
+    // The store comes back from its copy; every node sees its new era in some response.
+    void restoreStore()
+    {
+        m_rows = m_storeCopy.rows;
+        m_storeVersion = m_storeCopy.version;
+        ++m_storeEra;
+        for (auto& [vm, process] : m_processes)
+            process->rows->eraSeen(m_storeEra, m_now);
+    }
+    const StoredRow* storedRow(size_t vm) const
+    {
+        auto it = m_rows.find("vm" + std::to_string(vm));
+        return it == m_rows.end() ? nullptr : &it->second;
+    }
     bool isRunning(size_t vm) const { return m_processes.contains(vm); }
     MembershipService& service(size_t vm) { return *m_processes.at(vm)->service; }
     void leave(size_t vm)
@@ -53,6 +68,7 @@
     {
         MembershipActions actions;
         service(vm).setDeparted(departed, actions);
+        m_processes.at(vm)->rows->setDeparted(departed, m_now);
         perform(vm, actions);
     }
     const std::optional<TargetIncarnation>& restoredDeparture(size_t vm)
@@ -156,7 +172,10 @@
             std::vector<StoredRow> rows;
             for (auto& [key, row] : m_rows)
                 rows.push_back(row);
-            RowsRead found = process->rows->rowsRead(rows, m_now);
+            auto read = process->rows->rowsRead(rows, m_storeEra, m_now);
+            if (!read)
+                return;
+            RowsRead found = std::move(*read);
             MembershipActions actions;
             if (found.peers.empty() && process->rows->isPeerListComplete())
                 process->service->joinAsFirst(m_now);
@@ -165,6 +184,25 @@
         });
     }
 
+    void callStore(size_t vm, NodeId id, const ReadOwnRow&)
+    {
+        ++storeCalls;
+        bool isLost = m_random.chance(responseLossRate);
+        schedule(storeDelay, [this, vm, id, isLost] {
+            Process* process = processOf(vm, id);
+            if (!process)
+                return;
+            if (isRejected(vm) || isLost) {
+                process->rows->readFailed(m_now);
+                return;
+            }
+            std::vector<StoredRow> rows;
+            if (auto row = m_rows.find("vm" + std::to_string(vm)); row != m_rows.end())
+                rows.push_back(row->second);
+            process->rows->rowsRead(rows, m_storeEra, m_now);
+        });
+    }
+
     void callStore(size_t vm, NodeId id, const WriteRow& write)
     {
         ++storeCalls;
@@ -180,7 +218,7 @@
             if (!process)
                 return;
             if (isWritten && !isLost)
-                process->rows->written(m_storeVersion);
+                process->rows->written(m_storeVersion, m_storeEra, m_now);
             else
                 process->rows->writeFailed(isRefused || isLost ? WriteFailure::Unknown : WriteFailure::Conflict, m_now);
         });
@@ -225,6 +263,12 @@
     std::multimap<Instant, std::function<void()>> m_events;
     std::map<std::string, StoredRow> m_rows;
     uint64_t m_storeVersion { 0 };
+    uint64_t m_storeEra { 1 };
+    struct StoreCopy {
+        std::map<std::string, StoredRow> rows;
+        uint64_t version { 0 };
+    };
+    StoreCopy m_storeCopy;
     uint64_t m_lastNode { 0 };
     size_t m_boundary { 0 };
 };
--- a/tests/Node/FleetStartTest.cpp
+++ b/tests/Node/FleetStartTest.cpp
@@ -203,6 +203,88 @@
     }
 }
 
+TEST(FleetStart, ARowLostInARestoreIsWrittenAgain)
+{
+    for (uint64_t seed = 1; seed <= 30; ++seed) {
+        FleetSimulation fleet(seed);
+        startAll(fleet, 5, 300ms);
+        fleet.run(5s);
+        fleet.copyStore();
+        fleet.start(5);
+        fleet.run(3s);
+        ASSERT_TRUE(fleet.storedRow(5)) << seed;
+        fleet.responseLossRate = seed % 3 ? 0 : 0.3;
+        fleet.restoreStore();
+        EXPECT_FALSE(fleet.storedRow(5)) << seed;
+        fleet.run(10s);
+        EXPECT_TRUE(fleet.storedRow(5)) << seed;
+    }
+}
+
+TEST(FleetStart, ADepartureLostInARestoreIsWrittenAgain)
+{
+    for (uint64_t seed = 1; seed <= 30; ++seed) {
+        FleetSimulation fleet(seed);
+        startAll(fleet, 4, 300ms);
+        fleet.run(5s);
+        fleet.copyStore();
+        TargetIncarnation departed { .instance = "i-1", .startedAtMilliseconds = 1'700'000'000'000 };
+        fleet.setDeparted(2, departed);
+        fleet.run(1s);
+        ASSERT_EQ(fleet.storedRow(2)->row.departed, departed) << seed;
+        // More than one restore, and the store may be away when the node reads its row.
+        for (int n = 0; n < 3; ++n) {
+            fleet.restoreStore();
+            fleet.isStoreDown = n == 1;
+            fleet.run(700ms);
+            fleet.isStoreDown = false;
+        }
+        EXPECT_NE(fleet.storedRow(2), nullptr);
+        fleet.run(10s);
+        EXPECT_EQ(fleet.storedRow(2)->row.departed, departed) << seed;
+    }
+}
+
+// The store may acknowledge a write, lose it, and only then does the acknowledgement arrive.
+TEST(FleetStart, AWriteAcknowledgedBeforeARestoreIsNotTakenForDurable)
+{
+    NodeRow row { .node = NodeId { 1 }, .gossip = { .address = "127.0.0.1", .port = 1 }, .departed = std::nullopt };
+    NodeRegistrar registrar({ .isFirstStart = true }, "vm", row);
+    std::vector<RowAction> actions;
+    Instant now = instantFromMicroseconds(0);
+    registrar.eraSeen(1, now);
+    for (; actions.empty(); now += 10ms)
+        registrar.tick(now, actions);
+    ASSERT_TRUE(std::holds_alternative<WriteRow>(actions.at(0)));
+    registrar.eraSeen(2, now);
+    registrar.written(7, 1, now);
+    EXPECT_FALSE(registrar.isDurable());
+    registrar.tick(now + 10s, actions);
+    EXPECT_TRUE(std::holds_alternative<ReadRows>(actions.at(1)));
+    registrar.rowsRead({}, 2, now + 10s);
+    registrar.tick(now + 20s, actions);
+    EXPECT_TRUE(std::holds_alternative<WriteRow>(actions.back()));
+    registrar.written(8, 2, now + 20s);
+    EXPECT_TRUE(registrar.isDurable());
+}
+
+// A member that tells an era that the store has never had must not make the others write for ever.
+TEST(FleetStart, ALowerEraOfTheStoreItselfIsBelieved)
+{
+    NodeRow row { .node = NodeId { 1 }, .gossip = { .address = "127.0.0.1", .port = 1 }, .departed = std::nullopt };
+    NodeRegistrar registrar({}, "vm", row);
+    std::vector<RowAction> actions;
+    Instant now = instantFromMicroseconds(0);
+    registrar.eraSeen(1, now);
+    registrar.eraSeen(1'000'000, now);
+    registrar.tick(now + 10s, actions);
+    ASSERT_TRUE(registrar.rowsRead({}, 1, now + 10s));
+    for (Duration passed = 10s; actions.size() < 2; passed += 10ms)
+        registrar.tick(now + passed, actions);
+    registrar.written(7, 1, now + 20s);
+    EXPECT_TRUE(registrar.isDurable());
+}
+
 TEST(FleetStart, ALargeFleetFindsItselfWithBoundedTraffic)
 {
     for (size_t count : fleetSizes) {
--- a/tests/Peer/GossipSocketTest.cpp
+++ b/tests/Peer/GossipSocketTest.cpp
@@ -51,6 +51,7 @@
     GossipContent full = createContent(3);
     full.digest = createDigest();
     full.requestedBuckets = { 0, 5, 63 };
+    full.storeEra = 3;
     full.coordinator = CoordinatorInfo { .zone = ZoneName("galle-a"), .fencingToken = 9, .node = NodeId { 4 } };
     full.records[1].departed
         = TargetIncarnation { .instance = "i-7f3a91c2", .startedAtMilliseconds = 1'700'000'000'123 };
--- a/tests/PlatformAdapter/StoreTest.cpp
+++ b/tests/PlatformAdapter/StoreTest.cpp
@@ -33,6 +33,12 @@
         m_ports.rows->list("nodes", into(result));
         return wait(result);
     }
+    StoreResult<ListedRows> readRow(const std::string& key)
+    {
+        std::optional<StoreResult<ListedRows>> result;
+        m_ports.rows->read("nodes", key, into(result));
+        return wait(result);
+    }
     StoreResult<StoredVersion> put(const std::string& key, const std::string& value, uint64_t expected)
     {
         std::optional<StoreResult<StoredVersion>> written;
@@ -91,6 +97,14 @@
     EXPECT_EQ(list().value().rows.size(), 7u);
 }
 
+TEST_F(StoreTest, ReadsOneRowOnly)
+{
+    m_store.write("nodes", "a", "one");
+    m_store.write("nodes", "c", "three");
+    EXPECT_EQ(readRow("a").value().rows.at(0).value, "one");
+    EXPECT_TRUE(readRow("b").value().rows.empty());
+}
+
 TEST_F(StoreTest, EveryResultNamesTheEraOfTheStore)
 {
     m_store.write("op", "config", "one");
@@ -102,6 +116,7 @@
     EXPECT_EQ(read().value().document, "one");
     EXPECT_EQ(put("vm", "row", 0).value().era, 2u);
     EXPECT_EQ(list().value().era, 2u);
+    EXPECT_EQ(readRow("vm").value().era, 2u);
     m_store.write("op", "config", "three");
     auto followed = follow(1);
     ASSERT_TRUE(followed.has_value());
