Check for a late first answer before planning the next load read

A target whose first answer did not come in time became ready after the due time of its load read had been taken from its old state, so the read was planned a turn later. No caller was affected; found while reading. NodeTests pass.

--- a/Source/Node/TargetTask.cpp
+++ b/Source/Node/TargetTask.cpp
@@ -793,11 +793,11 @@
     }
     Instant next = m_nextCheck;
     for (auto& [service, target] : m_targets) {
-        auto due = nextLoadRead(*target, now);
         if (target->firstAnswerDeadline && now >= *target->firstAnswerDeadline)
             endFirstAnswerWait(*target);
         if (target->firstAnswerDeadline)
             next = std::min(next, *target->firstAnswerDeadline);
+        auto due = nextLoadRead(*target, now);
         if (!due || target->isProbing)
             continue;
         if (*due <= now)
