Play request limits and leaving targets in the soak, over kept connections

The soak did not draw what targets say of themselves in their answers, and each call had a connection of its own, so nothing that depends on an open connection was met. Targets name limits (also zero) and say that they leave now, in series beside the other faults; the loads keep their connections. Rules and bounds are unchanged; more faults are drawn in a run.

--- a/tests/Process/calls.py
+++ b/tests/Process/calls.py
@@ -61,16 +61,21 @@
                 f"body {self.body[:200]!r}")
 
 
-def send(port, tag, options, wait_s=CALL_WAIT_S):
-    """Sends one request on a connection of its own; a kept one could be closed by the server while in use."""
-    headers = {"X-Request-Tag": tag, "Connection": "close"}
+def send(port, tag, options, wait_s=CALL_WAIT_S, kept=None):
+    """Sends one request on a connection of its own, or on the one that the dictionary `kept` has for the port.
+
+    A kept connection that the node closes while it is in use loses its request, which the caller sees as an error.
+    """
+    headers = {"X-Request-Tag": tag}
+    if kept is None:
+        headers["Connection"] = "close"
     for option, header in (("service", "Berylport-Service"), ("timeout-ms", "Berylport-Timeout-Ms"),
                            ("key", "Idempotency-Key"), ("tenant", "Berylport-Tenant")):
         if option in options:
             headers[header] = str(options[option])
     begin = time.monotonic()
     answer = Answer(tag)
-    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=wait_s)
+    connection = (kept or {}).pop(port, None) or http.client.HTTPConnection("127.0.0.1", port, timeout=wait_s)
     try:
         body = options.get("body")
         connection.request(options.get("method", "GET"), options.get("path", "/"),
@@ -81,8 +86,11 @@
         answer.body = response.read()
     except (OSError, http.client.HTTPException) as error:
         answer.error = f"{type(error).__name__}: {error}"
-    finally:
+    # http.client opens a connection again that the node has asked to close.
+    if kept is None or answer.error:
         connection.close()
+    else:
+        kept[port] = connection
     answer.seconds = time.monotonic() - begin
     return answer
 
@@ -98,7 +106,7 @@
 
 
 class Load:
-    """Calls at a fixed rate from several threads; each has a tag of its own."""
+    """Calls at a fixed rate from several threads; each has a tag of its own. Threads may keep their connections."""
 
     def __init__(self, name, ports, options):
         self.name = name
@@ -114,14 +122,17 @@
             it.start()
 
     def run(self):
+        kept = {} if self.options.get("keep") else None
         while True:
             with self.lock:
                 n = self.next
                 self.next += 1
             if n >= self.count:
+                for it in (kept or {}).values():
+                    it.close()
                 return
             time.sleep(max(0, self.begin + n / self.options["rate"] - time.monotonic()))
-            answer = send(self.ports[n % len(self.ports)], f"{self.name}-{n}", self.options)
+            answer = send(self.ports[n % len(self.ports)], f"{self.name}-{n}", self.options, kept=kept)
             with self.lock:
                 self.answers.append(answer)
 
--- a/tests/Process/script.py
+++ b/tests/Process/script.py
@@ -129,7 +129,7 @@
     "load": Verb(
         ("new load",),
         {**CALL_OPTIONS, "nodes": parse_names, "rate": parse_rate, "duration": parse_duration,
-         "threads": parse_count},
+         "threads": parse_count, "keep": parse_flag},
         ("nodes", "service", "rate", "duration")),
     "expect load": Verb(
         ("load",), {}, (),
--- a/tests/Process/soak.py
+++ b/tests/Process/soak.py
@@ -2,7 +2,8 @@
 """Randomized fault soak: soak.py --bin BUILD/bin [--seeds FIRST-LAST] [--show].
 
 Each seed gives a scenario of real programs as separate processes: two loads run while nodes are killed, stopped, frozen
-and replaced, links are cut, and the store misbehaves, in series and overlapping. It checks what callers and targets saw:
+and replaced, links are cut, the store misbehaves, and targets limit requests or say that they leave, in series and
+overlapping. It checks what callers and targets saw:
 whole answers to the right caller, no second run of a call that may run once, no false "not run", and service
 afterwards. Seeds that ever failed are kept in FAILED_SEEDS with their cause and are run first.
 
@@ -22,7 +23,7 @@
 FAILED_SEEDS = {}
 
 LOAD_S = 12
-FAULTS = (5, 9)
+FAULTS = (6, 12)
 TARGETS_PER_SERVICE = 3
 
 
@@ -37,6 +38,7 @@
         self.frozen = set()
         self.cuts = set()
         self.is_store_faulty = False
+        self.told = set()
 
     def add(self, line):
         self.lines.append(line)
@@ -67,8 +69,8 @@
             self.start_targets(it)
         for service in ("slotdesk", "collectsvc"):
             self.add(f"wait targets {service} {TARGETS_PER_SERVICE} on=a within=30s")
-        self.add(f"load l1 nodes=a service=slotdesk rate=40 duration={LOAD_S}s threads=48")
-        self.add(f"load l2 nodes=a service=collectsvc method=POST body=item rate=40 duration={LOAD_S}s threads=48")
+        self.add(f"load l1 nodes=a service=slotdesk rate=40 duration={LOAD_S}s threads=48 keep=yes")
+        self.add(f"load l2 nodes=a service=collectsvc method=POST body=item rate=40 duration={LOAD_S}s threads=48 keep=yes")
 
     def replace(self, ended):
         self.nodes.remove(ended)
@@ -118,6 +120,17 @@
             self.add(f"heal {first} {second}")
             self.cuts.discard((first, second))
 
+    def limit(self):
+        self.tell("i", self.random.choice(("request-limit=0", "request-limit=2.5", "request-limit=20", "request-limit=")))
+
+    def leave(self):
+        self.tell("m", self.random.choice(("leaving=1", "leaving=0")))
+
+    def tell(self, kind, behaviour):
+        name = f"{kind}-{self.random.choice(('a', *self.nodes))}"
+        self.add(f"behaviour {name} {behaviour}")
+        self.told.add(name)
+
     def store(self):
         fault = self.random.choice(("down=refuse", "down=close", "slowMs=400", "dropRate=0.3"))
         self.add(f"control table {fault}")
@@ -133,6 +146,8 @@
         for first, second in sorted(self.cuts):
             self.add(f"heal {first} {second}")
         self.mend_store()
+        for it in sorted(self.told):
+            self.add(f"behaviour {it} request-limit= leaving=0")
         for load in ("l1", "l2"):
             self.add(f"wait load {load} within=40s")
             self.add(f"expect load {load} -> lost=0 wrong=0 max-ms<=6000")
@@ -145,7 +160,8 @@
 
     def draw(self):
         self.prepare()
-        faults = (self.kill, self.stop, self.freeze, self.freeze, self.cut, self.heal, self.store, self.mend_store)
+        faults = (self.kill, self.stop, self.freeze, self.freeze, self.cut, self.heal, self.store, self.mend_store,
+                  self.limit, self.limit, self.leave, self.leave)
         for _ in range(self.random.randint(*FAULTS)):
             self.pause(100, 1500)
             self.random.choice(faults)()
