--- a/tests/Node/FleetSimulation.h
+++ b/tests/Node/FleetSimulation.h
@@ -157,49 +157,46 @@
 
     bool isRejected(size_t vm) const { return isStoreDown || rejectedVms.contains(vm); }
 
-    void callStore(size_t vm, NodeId id, const ReadRows&)
+    // Delivers what `deliver(process)` reads from the store at the time of the response, unless the call fails.
+    template <typename Function> void readStore(size_t vm, NodeId id, Function deliver)
     {
         ++storeCalls;
         bool isLost = m_random.chance(responseLossRate);
-        schedule(storeDelay, [this, vm, id, isLost] {
+        schedule(storeDelay, [this, vm, id, isLost, deliver] {
             Process* process = processOf(vm, id);
             if (!process)
                 return;
-            if (isRejected(vm) || isLost) {
+            if (isRejected(vm) || isLost)
                 process->rows->readFailed(m_now);
-                return;
-            }
+            else
+                deliver(*process);
+        });
+    }
+
+    void callStore(size_t vm, NodeId id, const ReadRows&)
+    {
+        readStore(vm, id, [this, vm](Process& process) {
             std::vector<StoredRow> rows;
             for (auto& [key, row] : m_rows)
                 rows.push_back(row);
-            auto read = process->rows->rowsRead(rows, m_storeEra, m_now);
+            auto read = process.rows->rowsRead(rows, m_storeEra, m_now);
             if (!read)
                 return;
-            RowsRead found = std::move(*read);
             MembershipActions actions;
-            if (found.peers.empty() && process->rows->isPeerListComplete())
-                process->service->joinAsFirst(m_now);
-            process->service->join(found.peers, m_now, actions);
+            if (read->peers.empty() && process.rows->isPeerListComplete())
+                process.service->joinAsFirst(m_now);
+            process.service->join(read->peers, m_now, actions);
             perform(vm, actions);
         });
     }
 
     void callStore(size_t vm, NodeId id, const ReadOwnRow&)
     {
-        ++storeCalls;
-        bool isLost = m_random.chance(responseLossRate);
-        schedule(storeDelay, [this, vm, id, isLost] {
-            Process* process = processOf(vm, id);
-            if (!process)
-                return;
-            if (isRejected(vm) || isLost) {
-                process->rows->readFailed(m_now);
-                return;
-            }
+        readStore(vm, id, [this, vm](Process& process) {
             std::vector<StoredRow> rows;
-            if (auto row = m_rows.find("vm" + std::to_string(vm)); row != m_rows.end())
-                rows.push_back(row->second);
-            process->rows->rowsRead(rows, m_storeEra, m_now);
+            if (auto* row = storedRow(vm))
+                rows.push_back(*row);
+            process.rows->rowsRead(rows, m_storeEra, m_now);
         });
     }
 
