--- a/tests/Process/soak.py
+++ b/tests/Process/soak.py
@@ -38,7 +38,7 @@
         self.frozen = set()
         self.cuts = set()
         self.is_store_faulty = False
-        self.told = set()
+        self.changed_targets = set()
 
     def add(self, line):
         self.lines.append(line)
@@ -121,15 +121,16 @@
             self.cuts.discard((first, second))
 
     def limit(self):
-        self.tell("i", self.random.choice(("request-limit=0", "request-limit=2.5", "request-limit=20", "request-limit=")))
+        limit = self.random.choice(("0", "2.5", "20", ""))
+        self.set_behaviour("i", f"request-limit={limit}")
 
     def leave(self):
-        self.tell("m", self.random.choice(("leaving=1", "leaving=0")))
+        self.set_behaviour("m", self.random.choice(("leaving=1", "leaving=0")))
 
-    def tell(self, kind, behaviour):
+    def set_behaviour(self, kind, behaviour):
         name = f"{kind}-{self.random.choice(('a', *self.nodes))}"
         self.add(f"behaviour {name} {behaviour}")
-        self.told.add(name)
+        self.changed_targets.add(name)
 
     def store(self):
         fault = self.random.choice(("down=refuse", "down=close", "slowMs=400", "dropRate=0.3"))
@@ -146,7 +147,7 @@
         for first, second in sorted(self.cuts):
             self.add(f"heal {first} {second}")
         self.mend_store()
-        for it in sorted(self.told):
+        for it in sorted(self.changed_targets):
             self.add(f"behaviour {it} request-limit= leaving=0")
         for load in ("l1", "l2"):
             self.add(f"wait load {load} within=40s")
