Do not read the front of an empty queue in RequestLimitTest

The sanitizer build ended AdmissionTests with a misaligned reference: no call had started at the first offers, as the bucket starts empty. The check and its bound are unchanged. AdmissionTests pass in the sanitizer build (73 cases).

--- a/tests/Admission/RequestLimitTest.cpp
+++ b/tests/Admission/RequestLimitTest.cpp
@@ -76,7 +76,7 @@
             take(m_bench.answer(id));
         }
         take(offer(2000 + n));
-        while (m_bench.now - starts.front() > 4s)
+        while (!starts.empty() && m_bench.now - starts.front() > 4s)
             starts.pop_front();
         ASSERT_LE(static_cast<double>(starts.size()), 1.5 * 4 * limit + 5) << "at offer " << n;
     }
