Show which nodes follow the store and how old their word is

The logs could not tell whether a node that serves an older configuration asks the store or relies on others. A node logs when it begins or ends to follow the store (source-followed, source-not-followed), with its version and the age of its last answer; the measure berylport_configuration_confirmed_seconds_ago shows that age.

What nodes do is unchanged.

--- a/Source/Log/EventCatalogue.h
+++ b/Source/Log/EventCatalogue.h
@@ -99,6 +99,8 @@
     NodeConfirmed = 708,
     ConfigurationMalformed = 709,
     ConfigurationHistoryLost = 710,
+    SourceFollowed = 711,
+    SourceNotFollowed = 712,
 
     ActionAccepted = 801,
     ActionDone = 802,
--- a/Source/Node/DirectoryTask.cpp
+++ b/Source/Node/DirectoryTask.cpp
@@ -120,6 +120,7 @@
 {
     std::vector<FollowerAction> actions;
     if (snapshot) {
+        m_lastSourceResponseAt = steadyNow();
         updateStoreReachability(true, "configuration", {});
         noteEra(snapshot.value().position.era);
         if (snapshot.value().document)
@@ -199,7 +200,15 @@
         return;
     // The list is sorted, so all nodes of the zone choose the same readers.
     auto position = std::ranges::find(m_zoneMembers, m_context.self) - m_zoneMembers.begin();
-    m_follower.setReader(position < readersPerZone || m_isCutOff, steadyNow());
+    bool isReader = position < readersPerZone || m_isCutOff;
+    m_follower.setReader(isReader, steadyNow());
+    if (m_isReader == isReader)
+        return;
+    m_isReader = isReader;
+    std::string age = m_lastSourceResponseAt ? std::to_string(toMilliseconds(steadyNow() - *m_lastSourceResponseAt))
+                                             : std::string("unknown");
+    logEvent(isReader ? Event::SourceFollowed : Event::SourceNotFollowed,
+        { { "version", std::to_string(m_follower.version()) }, { "confirmed_ago_ms", age } });
 }
 
 void DirectoryTask::handle(ConfigurationFetched&& fetched)
@@ -338,6 +347,10 @@
     std::vector<FollowerAction> actions;
     m_follower.tick(now, actions);
     perform(actions);
+    if (m_lastSourceResponseAt) {
+        m_context.metrics.set("berylport_configuration_confirmed_seconds_ago",
+            static_cast<double>(toMilliseconds(now - *m_lastSourceResponseAt)) / 1000);
+    }
     auto& status = m_context.status;
     bool wasDone = status.isDiscoveryDone;
     // Rows of VMs that no longer exist stay in the store; a node must become ready even if none of its seeds replies.
--- a/Source/Node/DirectoryTask.h
+++ b/Source/Node/DirectoryTask.h
@@ -64,6 +64,9 @@
     std::vector<NodeId> m_zoneMembers;
     bool m_isCutOff { false };
     bool m_isReaderRoleSet { false };
+    // As written to the log last.
+    std::optional<bool> m_isReader;
+    std::optional<Instant> m_lastSourceResponseAt;
     Timer m_timer;
     NodeRegistrar m_rows;
     uint64_t m_storeEra { 0 };
