Ask the store when its last word on the configuration grows old

Cause: three nodes a zone, chosen by their place in the list of members, followed the store; the others put off their polls for up to a minute while peers reported any version, so a node relied on others that had lost the store. Class of fault: work left to a chosen few on the strength of their being alive instead of being current.

Each report of a version carries when the store last confirmed it, as an age, and by whom. A node asks the store itself before that is 1.5 s ago, at a random age from 1.25 s; one that had to ask follows the store with polls of a second and announces each answer to its group of about 64, which spares the others. Of two that hear each other one goes on. After a pause nothing heard before it counts as recent.

--- a/Source/Base/GossipMessages.h
+++ b/Source/Base/GossipMessages.h
@@ -3,6 +3,7 @@
 
 #include "Base/Identifiers.h"
 #include "Base/TargetRecord.h"
+#include "Base/Time.h"
 
 #include <array>
 #include <cstdint>
@@ -78,6 +79,15 @@
     bool operator==(const CoordinatorInfo&) const = default;
 };
 
+// The source of the configuration has confirmed that no version newer than the one held exists.
+struct SourceConfirmation {
+    // On the clock of the node that holds this; an age on the wire.
+    Instant at;
+    // The node that asked the source.
+    NodeId reader;
+    bool operator==(const SourceConfirmation&) const = default;
+};
+
 // What any gossip message may carry.
 struct GossipContent {
     std::vector<MemberRecord> records;
@@ -87,6 +97,8 @@
     std::optional<CoordinatorInfo> coordinator;
     // Latest era of the shared store that the sender knows of; zero for none.
     uint64_t storeEra { 0 };
+    // Of the configuration version in the sender's own record.
+    std::optional<SourceConfirmation> confirmation {};
     bool operator==(const GossipContent&) const = default;
 };
 
--- a/Source/Configuration/SourceFollower.cpp
+++ b/Source/Configuration/SourceFollower.cpp
@@ -1,78 +1,127 @@
-// Schedules long polls, retries and peer fetches.
+// Schedules requests to the source, retries and peer fetches by the age of the last confirmation.
 #include "Configuration/SourceFollower.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Berylport {
 
-void SourceFollower::start(Instant, std::vector<FollowerAction>& actions) { read(actions); }
+namespace {
 
-void SourceFollower::read(std::vector<FollowerAction>& actions)
+// Requests that are late and still remembered; older ones are dropped.
+constexpr size_t maximumLateRequests = 4;
+
+} // namespace
+
+void SourceFollower::start(Instant now, std::vector<FollowerAction>& actions) { ask({}, now, actions); }
+
+void SourceFollower::ask(Duration wait, Instant now, std::vector<FollowerAction>& actions)
+{
+    m_retryAt.reset();
+    // The source may have truncated its history by then; reading the full document also costs only one call.
+    if (m_positionAt && now - *m_positionAt > m_options.positionLifetime)
+        m_position.reset();
+    if (!m_position)
+        wait = {};
+    Duration allowed = std::clamp(2 * m_answerTime, m_options.minimumAnswerTime, m_options.maximumAnswerTime);
+    m_request = {
+        .number = ++m_lastNumber, .askedAt = now, .wait = wait, .isRead = !m_position, .dueAt = now + wait + allowed
+    };
+    if (m_position)
+        actions.push_back(FollowSource { .number = m_lastNumber, .position = *m_position, .wait = wait });
+    else
+        actions.push_back(ReadSource { .number = m_lastNumber });
+}
+
+void SourceFollower::giveUpWaiting()
 {
+    m_lateRequests.emplace(m_request->number, *m_request);
+    if (m_lateRequests.size() > maximumLateRequests)
+        m_lateRequests.erase(m_lateRequests.begin());
+    m_request.reset();
     m_isFollowing = false;
-    actions.push_back(ReadSource {});
 }
 
-void SourceFollower::follow(Duration wait, std::vector<FollowerAction>& actions)
+void SourceFollower::recordAnswerTime(const Request& request, Instant now)
 {
-    m_isFollowing = true;
-    actions.push_back(FollowSource { .position = *m_position, .wait = wait });
+    Duration elapsed = now - request.askedAt;
+    // A response before the end of the wait tells of a change and may have come at any moment of it.
+    if (elapsed >= request.wait)
+        m_answerTime = elapsed - request.wait;
 }
 
-void SourceFollower::sourceAnswered(const SourcePosition& position, Instant now, std::vector<FollowerAction>& actions)
+void SourceFollower::confirm(const SourceConfirmation& confirmation)
 {
+    if (m_confirmation && m_confirmation->at >= confirmation.at)
+        return;
+    m_confirmation = confirmation;
+    auto spread = static_cast<double>((m_options.maximumConfirmationAge - m_options.minimumAskAge).count());
+    m_askAge = m_options.minimumAskAge + Duration(static_cast<int64_t>(m_random.unit() * spread));
+}
+
+bool SourceFollower::isFollowedByPreferred(Instant now) const
+{
+    return m_preferredConfirmedAt && now - *m_preferredConfirmedAt < m_options.minimumAskAge;
+}
+
+void SourceFollower::sourceAnswered(
+    SourceRequestNumber number, const SourcePosition& position, Instant now, std::vector<FollowerAction>& actions)
+{
+    auto late = m_lateRequests.find(number);
+    if (late != m_lateRequests.end()) {
+        // A later request may already have told another era, so nothing but the answer time is taken from this one.
+        recordAnswerTime(late->second, now);
+        m_lateRequests.erase(late);
+        return;
+    }
+    if (!m_request || m_request->number != number)
+        return;
+    Request request = *m_request;
+    m_request.reset();
+    recordAnswerTime(request, now);
     m_failures = 0;
-    m_lastSourceResponseAt = now;
     m_retryAt.reset();
-    // One request is in flight at a time, so this response is newer than the one that told the other era.
     bool isRestored = position.era && position.era != m_era;
     if (isRestored) {
         m_era = position.era;
         m_position.reset();
     }
     // The request named a version of the earlier era, so changes of this era below that version may be missing.
-    if (isRestored && m_isFollowing) {
-        read(actions);
+    if (isRestored && !request.isRead) {
+        ask({}, now, actions);
         return;
     }
     m_position = std::max(position.version, m_position.value_or(0));
-    if (m_isReader) {
-        follow(m_options.longPollTimeout, actions);
-        return;
-    }
-    schedulePoll(now);
-}
-
-void SourceFollower::schedulePoll(Instant now)
-{
-    // Jitter: three quarters to the whole of the interval, so that nodes that started together do not poll together.
-    m_retryAt = now + m_options.pollInterval * 3 / 4
-        + Duration(static_cast<int64_t>(m_random.unit() * static_cast<double>(m_options.pollInterval.count()) / 4));
-    m_isPollScheduled = true;
+    m_positionAt = now;
+    confirm({ .at = now, .reader = m_options.self });
+    m_isFollowing = !std::exchange(m_isStarting, false) && !isFollowedByPreferred(now);
+    actions.push_back(AnnounceConfirmation {});
+    if (m_isFollowing)
+        ask(std::max(m_options.confirmationInterval - m_answerTime, Duration::zero()), now, actions);
 }
 
-bool SourceFollower::canSkipPoll(Instant now) const
-{
-    bool isAmongPeers = m_lastPeerReportAt && now - *m_lastPeerReportAt < m_options.peerVersionLifetime;
-    bool isRecent = m_lastSourceResponseAt && now - *m_lastSourceResponseAt < m_options.pollIntervalWithPeers;
-    return !m_isReader && m_isPollScheduled && isAmongPeers && isRecent;
-}
-
-void SourceFollower::setReader(bool isReader, Instant now)
-{
-    if (isReader && !m_isReader && m_isPollScheduled)
-        m_retryAt = now;
-    m_isReader = isReader;
-}
-
-void SourceFollower::historyTruncated(Instant now, std::vector<FollowerAction>&)
+void SourceFollower::historyTruncated(SourceRequestNumber number, Instant now)
 {
+    m_lateRequests.erase(number);
+    if (!m_request || m_request->number != number)
+        return;
+    m_request.reset();
     m_position.reset();
     // A read right after the truncation may return the same outdated position, so the next one is delayed.
     m_retryAt = now + m_options.initialRetryDelay;
 }
 
-void SourceFollower::sourceFailed(Instant now)
+void SourceFollower::sourceFailed(SourceRequestNumber number, Instant now)
+{
+    m_lateRequests.erase(number);
+    if (!m_request || m_request->number != number)
+        return;
+    m_request.reset();
+    m_isFollowing = false;
+    retryLater(now);
+}
+
+void SourceFollower::retryLater(Instant now)
 {
     Duration wait = m_options.initialRetryDelay * (1 << std::min<uint32_t>(m_failures, 10));
     wait = std::min(wait, m_options.maximumRetryDelay);
@@ -82,12 +131,29 @@
         = now + wait / 2 + Duration(static_cast<int64_t>(m_random.unit() * static_cast<double>(wait.count()) / 2));
 }
 
-void SourceFollower::peerVersionReported(
-    NodeId node, uint64_t version, Instant now, std::vector<FollowerAction>& actions)
+void SourceFollower::resumedAfterPause()
+{
+    m_confirmation.reset();
+    m_announced.reset();
+    m_preferredConfirmedAt.reset();
+    if (m_request)
+        giveUpWaiting();
+}
+
+void SourceFollower::peerReported(const PeerReport& report, Instant now, std::vector<FollowerAction>& actions)
 {
-    // A peer without a configuration has not reached the source.
-    if (version)
-        m_lastPeerReportAt = now;
+    auto& [node, version, confirmation, announcesHere] = report;
+    if (confirmation) {
+        if (announcesHere && confirmation->reader == node && node < m_options.self)
+            m_preferredConfirmedAt = std::max(m_preferredConfirmedAt.value_or(confirmation->at), confirmation->at);
+        // A peer that confirms an older version than the held one has asked before the newer one was accepted.
+        if (version == m_version)
+            confirm(*confirmation);
+        if (version > m_version && version >= m_announcedVersion) {
+            m_announced = confirmation;
+            m_announcedVersion = version;
+        }
+    }
     bool isFetchPending = m_isFetching && now < m_fetchDeadline;
     if (version <= m_version || isFetchPending)
         return;
@@ -103,29 +169,32 @@
     if (version <= m_version)
         return false;
     m_version = version;
+    if (m_announced && m_announcedVersion <= version)
+        confirm(*std::exchange(m_announced, std::nullopt));
     return true;
 }
 
 void SourceFollower::tick(Instant now, std::vector<FollowerAction>& actions)
 {
-    if (!m_retryAt || now < *m_retryAt)
-        return;
-    if (canSkipPoll(now)) {
-        schedulePoll(now);
-        return;
+    if (m_request && now >= m_request->dueAt) {
+        giveUpWaiting();
+        // The connection may have gone silent while the source still responds to new ones.
+        if (!m_failures)
+            ++m_failures;
+        else
+            retryLater(now);
     }
-    m_retryAt.reset();
-    m_isPollScheduled = false;
-    // The source may have truncated its history by then; reading the full document also costs only one call.
-    if (m_lastSourceResponseAt && now - *m_lastSourceResponseAt > 2 * m_options.pollInterval)
-        m_position.reset();
-    // After a failure the source may have been restored. Only a response shows its era, so the first request does not
-    // wait for a change.
-    bool mayWait = m_isReader && !m_failures;
-    if (m_position)
-        follow(mayWait ? m_options.longPollTimeout : Duration::zero(), actions);
-    else
-        read(actions);
+    if (m_request || now < nextWake())
+        return;
+    ask({}, now, actions);
+}
+
+Instant SourceFollower::nextWake() const
+{
+    if (m_request)
+        return m_request->dueAt;
+    Instant due = m_retryAt.value_or(Instant());
+    return m_confirmation ? std::max(due, m_confirmation->at + m_askAge) : due;
 }
 
 } // namespace Berylport
--- a/Source/Configuration/SourceFollower.h
+++ b/Source/Configuration/SourceFollower.h
@@ -1,12 +1,19 @@
-// Follows the newest configuration of a source by long polling, and falls back to peers while the source is
-// unavailable. Schedules the requests; owns no socket.
+// Keeps this node's configuration as new as the source's, with few requests from the whole fleet. Schedules the
+// requests; owns no socket.
+//
+// Each node knows when the source last confirmed that the version it holds is the newest, by its own request or by the
+// word of a peer, and asks the source itself before that becomes too long ago. A node that had to ask keeps following
+// the source and tells its peers of each confirmation, so that they need not ask. Nobody is chosen: whoever reaches the
+// source follows it, as soon as those who did so fall silent, whatever the reason.
 #pragma once
 
+#include "Base/GossipMessages.h"
 #include "Base/Identifiers.h"
 #include "Base/Random.h"
 #include "Base/Time.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <variant>
 #include <vector>
@@ -21,11 +28,17 @@
     uint64_t version { 0 };
 };
 
+// Numbers the requests to the source; a later request has a higher one.
+using SourceRequestNumber = uint64_t;
+
 // Read the full document from the source.
-struct ReadSource { };
+struct ReadSource {
+    SourceRequestNumber number { 0 };
+};
 
 // Long poll: ask the source to respond when something changes after the position.
 struct FollowSource {
+    SourceRequestNumber number { 0 };
     // Version of the latest era.
     uint64_t position { 0 };
     Duration wait {};
@@ -36,21 +49,39 @@
     NodeId node;
 };
 
-using FollowerAction = std::variant<ReadSource, FollowSource, FetchFromPeer>;
+// Tell the peers that the source has confirmed the held version.
+struct AnnounceConfirmation { };
+
+using FollowerAction = std::variant<ReadSource, FollowSource, FetchFromPeer, AnnounceConfirmation>;
+
+// What a peer tells of the configuration that it holds.
+struct PeerReport {
+    NodeId node;
+    uint64_t version { 0 };
+    // When the source confirmed that version, as far as the peer knows.
+    std::optional<SourceConfirmation> confirmation {};
+    // The peer announces the confirmations that it gets from the source to this node.
+    bool announcesHere { false };
+};
 
 class SourceFollower {
 public:
     struct Options {
-        // How long the source may hold a long poll open when nothing changes. Each poll costs one call, and a
-        // connection that died unnoticed delays a change by at most this time.
-        Duration longPollTimeout { std::chrono::seconds(10) };
-        // Poll interval of a node that is no reader and hears nothing from its peers. Must be below the time for which
-        // sources retain their history.
-        Duration pollInterval { std::chrono::seconds(15) };
-        // Poll interval while peers report their versions, as a reader among them would have the newest.
-        Duration pollIntervalWithPeers { std::chrono::minutes(1) };
-        // A peer's report older than this is ignored.
-        Duration peerVersionLifetime { std::chrono::seconds(5) };
+        NodeId self;
+        // A change must be in force on every node 2 s after it was accepted, so a node asks this long after the last
+        // confirmation at the latest.
+        Duration maximumConfirmationAge { std::chrono::milliseconds(1500) };
+        // Earliest age at which a node asks. Nodes ask at random ages between the two, so that the first one to succeed
+        // spares the others their request.
+        Duration minimumAskAge { std::chrono::milliseconds(1250) };
+        // Interval of the confirmations of a node that follows the source; the rest up to the age above is for their
+        // way to the peers.
+        Duration confirmationInterval { std::chrono::seconds(1) };
+        // A request whose answer is overdue by this, or by twice the last answer time, counts as failed.
+        Duration minimumAnswerTime { std::chrono::milliseconds(500) };
+        Duration maximumAnswerTime { std::chrono::seconds(2) };
+        // Sources retain their history for a limited time; after this the full document is read.
+        Duration positionLifetime { std::chrono::seconds(15) };
         // Delay before the first retry after a failure; doubles with each further failure.
         Duration initialRetryDelay { std::chrono::milliseconds(200) };
         // With a longer delay, a node would notice too late that the source is available again: changes must take
@@ -69,32 +100,47 @@
 
     void start(Instant now, std::vector<FollowerAction>&);
     // Any response from the source. The position is where to resume from.
-    void sourceAnswered(const SourcePosition&, Instant now, std::vector<FollowerAction>&);
+    void sourceAnswered(SourceRequestNumber, const SourcePosition&, Instant now, std::vector<FollowerAction>&);
     // The source reported that it no longer retains the changes after the position.
-    void historyTruncated(Instant now, std::vector<FollowerAction>&);
-    void sourceFailed(Instant now);
-
-    // Only a few nodes of a zone, the readers, follow the source, or each change would cost one call per node. A node
-    // starts as a reader.
-    void setReader(bool isReader, Instant now);
+    void historyTruncated(SourceRequestNumber, Instant now);
+    void sourceFailed(SourceRequestNumber, Instant now);
+    // The process did not run for a while, so answers and peers' words may be older than they seem.
+    void resumedAfterPause();
 
-    // A peer has reported the version that it holds.
-    void peerVersionReported(NodeId, uint64_t version, Instant now, std::vector<FollowerAction>&);
+    void peerReported(const PeerReport&, Instant now, std::vector<FollowerAction>&);
     void fetchEnded();
 
     // Returns true when a document of this version replaces the held one. Versions never regress, whoever offers them.
     bool adopt(uint64_t version);
     uint64_t version() const { return m_version; }
     bool isSourceReachable() const { return !m_failures; }
+    // Whether this node follows the source for its peers.
+    bool isFollowing() const { return m_isFollowing; }
+    // When the source last confirmed that no newer version than the held one exists.
+    const std::optional<SourceConfirmation>& confirmation() const { return m_confirmation; }
 
     void tick(Instant now, std::vector<FollowerAction>&);
-    std::optional<Instant> nextWake() const { return m_retryAt; }
+    // Time at which tick() is due.
+    Instant nextWake() const;
 
 private:
-    void follow(Duration wait, std::vector<FollowerAction>&);
-    void read(std::vector<FollowerAction>&);
-    void schedulePoll(Instant now);
-    bool canSkipPoll(Instant now) const;
+    struct Request {
+        SourceRequestNumber number { 0 };
+        Instant askedAt;
+        Duration wait {};
+        bool isRead { false };
+        // A response after this time is late.
+        Instant dueAt;
+    };
+
+    void ask(Duration wait, Instant now, std::vector<FollowerAction>&);
+    // Counts the request as late and awaits nothing.
+    void giveUpWaiting();
+    void retryLater(Instant now);
+    void confirm(const SourceConfirmation&);
+    void recordAnswerTime(const Request&, Instant now);
+    // Another node follows the source and announces it here. Of two nodes that do so the one with the lower id goes on.
+    bool isFollowedByPreferred(Instant now) const;
 
     Options m_options;
     Random m_random;
@@ -103,17 +149,28 @@
     uint64_t m_era { 0 };
     // Version of that era to resume from; unset while the full document has to be read.
     std::optional<uint64_t> m_position;
-    // The request in flight, if any, is a FollowSource.
+    std::optional<Instant> m_positionAt;
+    // The newest request while its response is awaited.
+    std::optional<Request> m_request;
+    // Requests whose response is late. Their document is used, but nothing is resumed from their position.
+    std::map<SourceRequestNumber, Request> m_lateRequests;
+    SourceRequestNumber m_lastNumber { 0 };
     bool m_isFollowing { false };
-    bool m_isReader { true };
-    // No request to the source is in flight; the next poll is due at m_retryAt.
-    bool m_isPollScheduled { false };
+    // The first response is for this node's own start only.
+    bool m_isStarting { true };
+    Duration m_answerTime {};
     uint32_t m_failures { 0 };
     std::optional<Instant> m_retryAt;
+    std::optional<SourceConfirmation> m_confirmation;
+    // Age of the confirmation at which this node asks.
+    Duration m_askAge {};
+    // Confirmation of a version that is not held yet.
+    std::optional<SourceConfirmation> m_announced;
+    uint64_t m_announcedVersion { 0 };
+    // Latest confirmation that a preferred node got from the source.
+    std::optional<Instant> m_preferredConfirmedAt;
     // Limits fetches to one at a time, so that a new version does not cost one per peer that holds it.
     bool m_isFetching { false };
-    std::optional<Instant> m_lastPeerReportAt;
-    std::optional<Instant> m_lastSourceResponseAt;
     Instant m_fetchDeadline;
 };
 
--- a/Source/Membership/MembershipService.cpp
+++ b/Source/Membership/MembershipService.cpp
@@ -156,7 +156,11 @@
     for (auto& it : content.records) {
         mergeRecord(sender, it, now, actions);
         if (it.node == sender) {
-            actions.push_back(PeerVersionSeen { .node = sender, .peer = it.peer, .version = it.configurationVersion });
+            actions.push_back(PeerVersionSeen { .node = sender,
+                .peer = it.peer,
+                .version = it.configurationVersion,
+                .confirmation = content.confirmation,
+                .isInOwnGroup = isInOwnGroup(sender) });
         }
     }
     if (content.coordinator)
@@ -436,6 +440,27 @@
     actions.push_back(CoordinatorLearned { .coordinator = info });
 }
 
+bool MembershipService::isInOwnGroup(NodeId node) const
+{
+    size_t groups = m_table.presentCount() / m_options.confirmationGroup + 1;
+    std::hash<NodeId> hash;
+    return hash(node) % groups == hash(m_table.self().node) % groups;
+}
+
+void MembershipService::announceConfirmation(MembershipActions& actions)
+{
+    std::vector<NodeId> members = m_table.presentNodes();
+    std::erase_if(members, [&](NodeId it) { return !isInOwnGroup(it); });
+    for (NodeId it : members) {
+        // Sequence number zero acknowledges no probe.
+        GossipAck message { .sequence = 0, .sender = m_table.self().node, .content = {} };
+        message.content.storeEra = m_storeEra;
+        message.content.confirmation = m_confirmation;
+        message.content.records.push_back(m_table.self());
+        actions.push_back(SendGossip { .to = m_table.find(it)->record.gossip, .message = std::move(message) });
+    }
+}
+
 void MembershipService::resumedAfterPause(Instant now)
 {
     m_detector.paused(now);
@@ -519,6 +544,7 @@
 {
     GossipContent content;
     content.storeEra = m_storeEra;
+    content.confirmation = m_confirmation;
     content.records.push_back(m_table.self());
     size_t bytes = estimateBytes(m_table.self());
     auto append = [&](const MemberRecord& record) {
--- a/Source/Membership/MembershipService.h
+++ b/Source/Membership/MembershipService.h
@@ -53,6 +53,9 @@
     NodeId node;
     Endpoint peer;
     uint64_t version { 0 };
+    std::optional<SourceConfirmation> confirmation;
+    // The node is one of those that announce confirmations to each other.
+    bool isInOwnGroup { false };
 };
 
 // A member knows a later era of the shared store.
@@ -100,6 +103,8 @@
     Duration discoveryTimeout { std::chrono::seconds(1) };
     // Seeds that have not responded for this long belong to VMs that no longer exist.
     Duration seedResponseTimeout { std::chrono::seconds(10) };
+    // Members that are told of a confirmation by the source at once; a larger fleet is divided into groups.
+    size_t confirmationGroup { 64 };
     // Members notified immediately that this node leaves.
     size_t leaveFanout { 8 };
 };
@@ -124,6 +129,10 @@
     // Notifies a few members of this node's zone and the zone's coordinator immediately when the version is new.
     void setConfigurationVersion(uint64_t, Instant now, MembershipActions&);
     void setCoordinator(const CoordinatorInfo&);
+    // When the source last confirmed the configuration version, if that is known; every message carries it.
+    void setConfirmation(const std::optional<SourceConfirmation>& confirmation) { m_confirmation = confirmation; }
+    // Sends version and confirmation to the members of this node's group at once.
+    void announceConfirmation(MembershipActions&);
     // Every message carries the latest era known.
     void setStoreEra(uint64_t era) { m_storeEra = std::max(m_storeEra, era); }
     // Publishes the departure in this node's record, so that a later process on this VM learns of it while the store is
@@ -150,6 +159,7 @@
     bool isCutOff() const { return m_partitionDetector.isCutOff(); }
 
 private:
+    bool isInOwnGroup(NodeId) const;
     void checkDeadSender(NodeId);
     void receiveContent(NodeId sender, const GossipContent&, Instant now, MembershipActions&);
     void handle(const GossipPing&, const Endpoint& from, Instant now, MembershipActions&);
@@ -221,6 +231,7 @@
     std::optional<MemberRecord> m_deadSenderRecord;
     std::optional<TargetIncarnation> m_predecessorDeparture;
     uint64_t m_storeEra { 0 };
+    std::optional<SourceConfirmation> m_confirmation;
     // Highest version of this node's record that others have declared dead.
     uint64_t m_lastDeclaredDeadVersion { 0 };
     // Ping requests awaiting the probed member's ack, by the sequence number of the relayed ping.
--- a/Source/Node/ConfigurationTask.h
+++ b/Source/Node/ConfigurationTask.h
@@ -27,6 +27,8 @@
     // --- handlers of messages from other tasks
     void handle(PeerVersion&&);
     void handle(RecordDeparture&&);
+    // This task has a pause detector of its own.
+    void handle(PauseNoticed&&) { }
     // The native table keeps what it has acknowledged.
     void handle(StoreEraSeen&&) { }
     void handle(ConfigurationFetched&&);
--- a/Source/Node/DirectoryTask.cpp
+++ b/Source/Node/DirectoryTask.cpp
@@ -12,8 +12,8 @@
 const std::string rowTable = "nodes";
 // If none of the nodes found in the rows has replied after this time, they are assumed to be gone.
 constexpr Duration seedContactTimeout = std::chrono::seconds(2);
-// Number of nodes of a zone that follow the store. If one of them is dead and not yet detected, two are left.
-constexpr ptrdiff_t readersPerZone = 3;
+// After a longer pause of the process nothing that was heard before it counts as recent.
+constexpr Duration shortPause = std::chrono::milliseconds(250);
 constexpr Duration wakeInterval = std::chrono::milliseconds(100);
 
 std::string rowKey(const NodeContext& context)
@@ -51,7 +51,7 @@
         std::visit([this](auto& it) { handle(std::move(it)); }, message);
     }))
     , m_store(context.adapter.connectStore(context.loop.base(), context.settings, context.seed))
-    , m_follower({ .seed = context.seed ^ 0xD1EC7 })
+    , m_follower({ .self = context.self, .seed = context.seed ^ 0xD1EC7 })
     , m_timer(context.loop, guarded([this] { wake(); }))
     , m_rows({ .isFirstStart = context.settings.node.isFirstStart, .seed = context.seed ^ 0x5EED }, rowKey(context),
           makeRow(context))
@@ -64,11 +64,8 @@
 {
     m_context.ports.configuration.attach(&m_mailbox);
     std::vector<FollowerAction> actions;
-    // The reader role depends on the members of the zone, which are not known yet.
-    m_follower.setReader(false, steadyNow());
     m_follower.start(steadyNow(), actions);
     perform(actions);
-    m_timer.startPeriodic(wakeInterval);
     wake();
 }
 
@@ -96,18 +93,24 @@
 {
     for (auto& action : actions)
         std::visit([this](auto& it) { perform(it); }, action);
+    publishConfirmation(false);
+    m_timer.startAt(std::min(steadyNow() + wakeInterval, m_follower.nextWake()));
 }
 
-void DirectoryTask::perform(const ReadSource&)
+void DirectoryTask::perform(const ReadSource& action)
 {
     m_store.configuration->read(
-        guarded([this](Instant, const StoreResult<ConfigurationSnapshot>& snapshot) { sourceAnswered(snapshot); }));
+        guarded([this, number = action.number](Instant, const StoreResult<ConfigurationSnapshot>& snapshot) {
+            sourceAnswered(number, snapshot);
+        }));
 }
 
 void DirectoryTask::perform(const FollowSource& action)
 {
     m_store.configuration->follow(action.position, action.wait,
-        guarded([this](Instant, const StoreResult<ConfigurationSnapshot>& snapshot) { sourceAnswered(snapshot); }));
+        guarded([this, number = action.number](Instant, const StoreResult<ConfigurationSnapshot>& snapshot) {
+            sourceAnswered(number, snapshot);
+        }));
 }
 
 void DirectoryTask::perform(const FetchFromPeer& action)
@@ -116,22 +119,44 @@
         m_follower.fetchEnded();
 }
 
-void DirectoryTask::sourceAnswered(const StoreResult<ConfigurationSnapshot>& snapshot)
+void DirectoryTask::perform(const AnnounceConfirmation&) { publishConfirmation(true); }
+
+void DirectoryTask::publishConfirmation(bool isAnnounced)
+{
+    auto& confirmation = m_follower.confirmation();
+    if (isAnnounced || confirmation != m_publishedConfirmation) {
+        m_publishedConfirmation = confirmation;
+        m_context.ports.membership.post(
+            ConfigurationConfirmed { .confirmation = confirmation, .isAnnounced = isAnnounced });
+    }
+    if (m_isFollowing == m_follower.isFollowing())
+        return;
+    m_isFollowing = m_follower.isFollowing();
+    logEvent(m_isFollowing ? Event::SourceFollowed : Event::SourceNotFollowed,
+        { { "version", std::to_string(m_follower.version()) }, { "confirmed_ago_ms", confirmationAge() } });
+}
+
+std::string DirectoryTask::confirmationAge() const
+{
+    auto& confirmation = m_follower.confirmation();
+    return confirmation ? std::to_string(toMilliseconds(steadyNow() - confirmation->at)) : "unknown";
+}
+
+void DirectoryTask::sourceAnswered(SourceRequestNumber number, const StoreResult<ConfigurationSnapshot>& snapshot)
 {
     std::vector<FollowerAction> actions;
     if (snapshot) {
-        m_lastSourceResponseAt = steadyNow();
         updateStoreReachability(true, "configuration", {});
         noteEra(snapshot.value().position.era);
         if (snapshot.value().document)
             applyDocument(*snapshot.value().document, "store");
-        m_follower.sourceAnswered(snapshot.value().position, steadyNow(), actions);
+        m_follower.sourceAnswered(number, snapshot.value().position, steadyNow(), actions);
     } else if (snapshot.error().code == StoreErrorCode::HistoryLost) {
         logEvent(Event::ConfigurationHistoryLost);
-        m_follower.historyTruncated(steadyNow(), actions);
+        m_follower.historyTruncated(number, steadyNow());
     } else {
         updateStoreReachability(false, "configuration", toText(snapshot.error().code));
-        m_follower.sourceFailed(steadyNow());
+        m_follower.sourceFailed(number, steadyNow());
     }
     perform(actions);
 }
@@ -177,38 +202,20 @@
 void DirectoryTask::handle(PeerVersion&& seen)
 {
     std::vector<FollowerAction> actions;
-    m_follower.peerVersionReported(seen.node, seen.version, steadyNow(), actions);
+    m_follower.peerReported({ .node = seen.node,
+                                .version = seen.version,
+                                .confirmation = seen.confirmation,
+                                .announcesHere = seen.isInOwnGroup },
+        steadyNow(), actions);
     perform(actions);
 }
 
-void DirectoryTask::handle(ZoneMembersChanged&& message)
-{
-    m_zoneMembers = std::move(message.present);
-    updateReaderRole();
-}
-
-void DirectoryTask::handle(ConnectivityChanged&& message)
-{
-    m_isCutOff = message.isCutOff;
-    updateReaderRole();
-}
-
-void DirectoryTask::updateReaderRole()
+void DirectoryTask::handle(PauseNoticed&& pause)
 {
-    // Before discovery is done a node knows only itself and would always choose itself as a reader.
-    if (!m_context.status.isDiscoveryDone)
-        return;
-    // The list is sorted, so all nodes of the zone choose the same readers.
-    auto position = std::ranges::find(m_zoneMembers, m_context.self) - m_zoneMembers.begin();
-    bool isReader = position < readersPerZone || m_isCutOff;
-    m_follower.setReader(isReader, steadyNow());
-    if (m_isReader == isReader)
+    if (pause.gap < shortPause)
         return;
-    m_isReader = isReader;
-    std::string age = m_lastSourceResponseAt ? std::to_string(toMilliseconds(steadyNow() - *m_lastSourceResponseAt))
-                                             : std::string("unknown");
-    logEvent(isReader ? Event::SourceFollowed : Event::SourceNotFollowed,
-        { { "version", std::to_string(m_follower.version()) }, { "confirmed_ago_ms", age } });
+    m_follower.resumedAfterPause();
+    wake();
 }
 
 void DirectoryTask::handle(ConfigurationFetched&& fetched)
@@ -347,19 +354,14 @@
     std::vector<FollowerAction> actions;
     m_follower.tick(now, actions);
     perform(actions);
-    if (m_lastSourceResponseAt) {
+    if (auto& confirmation = m_follower.confirmation()) {
         m_context.metrics.set("berylport_configuration_confirmed_seconds_ago",
-            static_cast<double>(toMilliseconds(now - *m_lastSourceResponseAt)) / 1000);
+            static_cast<double>(toMilliseconds(now - confirmation->at)) / 1000);
     }
     auto& status = m_context.status;
-    bool wasDone = status.isDiscoveryDone;
     // Rows of VMs that no longer exist stay in the store; a node must become ready even if none of its seeds replies.
     status.isDiscoveryDone
         |= m_rows.isPeerListComplete() && m_seedsFoundAt && now - *m_seedsFoundAt >= seedContactTimeout;
-    if (status.isDiscoveryDone && (!wasDone || !m_isReaderRoleSet)) {
-        m_isReaderRoleSet = true;
-        updateReaderRole();
-    }
     tickRows();
 }
 
--- a/Source/Node/DirectoryTask.h
+++ b/Source/Node/DirectoryTask.h
@@ -22,8 +22,7 @@
     // --- handlers of messages from other tasks
     void handle(PeerVersion&&);
     void handle(StoreEraSeen&&);
-    void handle(ConnectivityChanged&&);
-    void handle(ZoneMembersChanged&&);
+    void handle(PauseNoticed&&);
     void handle(ConfigurationFetched&&);
     void handle(ConfigurationFetchFailed&&);
     void handle(RecordDeparture&&);
@@ -36,7 +35,12 @@
     void perform(const ReadSource&);
     void perform(const FollowSource&);
     void perform(const FetchFromPeer&);
-    void sourceAnswered(const StoreResult<ConfigurationSnapshot>&);
+    void perform(const AnnounceConfirmation&);
+    void sourceAnswered(SourceRequestNumber, const StoreResult<ConfigurationSnapshot>&);
+    // Passes what is known of the last confirmation on to the membership task.
+    void publishConfirmation(bool isAnnounced);
+    // Milliseconds, for logs.
+    std::string confirmationAge() const;
     void applyDocument(std::string document, std::string_view origin);
 
     // --- row of this node and seeds
@@ -54,19 +58,13 @@
 
     void updateStoreReachability(bool isReachable, std::string_view operation, std::string_view reason);
     void wake();
-    void updateReaderRole();
 
     NodeContext& m_context;
     Mailbox<ConfigurationMessage> m_mailbox;
     SharedStore m_store;
     SourceFollower m_follower;
-    // Present nodes of the zone, including this one.
-    std::vector<NodeId> m_zoneMembers;
-    bool m_isCutOff { false };
-    bool m_isReaderRoleSet { false };
-    // As written to the log last.
-    std::optional<bool> m_isReader;
-    std::optional<Instant> m_lastSourceResponseAt;
+    std::optional<SourceConfirmation> m_publishedConfirmation;
+    bool m_isFollowing { false };
     Timer m_timer;
     NodeRegistrar m_rows;
     uint64_t m_storeEra { 0 };
--- a/Source/Node/MembershipTask.cpp
+++ b/Source/Node/MembershipTask.cpp
@@ -63,7 +63,10 @@
     }))
     , m_service(makeOptions(context.settings.membership), makeSelf(context), context.seed, steadyNow())
     , m_timer(context.loop, guarded([this] { wake(); }))
-    , m_pauses(context.loop, {}, guarded([this](Duration) { m_service.resumedAfterPause(steadyNow()); }))
+    , m_pauses(context.loop, {}, guarded([this](Duration gap) {
+        m_service.resumedAfterPause(steadyNow());
+        m_context.ports.configuration.post(PauseNoticed { .gap = gap });
+    }))
 {
 }
 
@@ -104,6 +107,16 @@
     perform(actions);
 }
 
+void MembershipTask::handle(ConfigurationConfirmed&& message)
+{
+    m_service.setConfirmation(message.confirmation);
+    if (!message.isAnnounced)
+        return;
+    MembershipActions actions;
+    m_service.announceConfirmation(actions);
+    perform(actions);
+}
+
 void MembershipTask::handle(CoordinatorLeaseAcquired&& message) { m_service.setCoordinator(message.coordinator); }
 
 void MembershipTask::handle(RemindMembers&& message)
@@ -189,8 +202,11 @@
 {
     const Member* member = m_service.table().find(seen.node);
     bool isOwnZone = member && member->record.zone == m_context.settings.node.zone;
-    m_context.ports.configuration.post(
-        PeerVersion { .node = seen.node, .version = seen.version, .isOwnZone = isOwnZone });
+    m_context.ports.configuration.post(PeerVersion { .node = seen.node,
+        .version = seen.version,
+        .isOwnZone = isOwnZone,
+        .confirmation = seen.confirmation,
+        .isInOwnGroup = seen.isInOwnGroup });
 }
 
 void MembershipTask::perform(StoreEraLearned&& learned)
--- a/Source/Node/MembershipTask.h
+++ b/Source/Node/MembershipTask.h
@@ -17,6 +17,7 @@
 private:
     void handle(TargetsAnnounced&&);
     void handle(ConfigurationVersionApplied&&);
+    void handle(ConfigurationConfirmed&&);
     void handle(CoordinatorLeaseAcquired&&);
     void handle(RemindMembers&&);
     void handle(SeedsFound&&);
--- a/Source/Node/NodeMessages.h
+++ b/Source/Node/NodeMessages.h
@@ -172,6 +172,12 @@
 struct ConfigurationVersionApplied {
     uint64_t version { 0 };
 };
+// When the source of the configuration confirmed the version in force, if that is known.
+struct ConfigurationConfirmed {
+    std::optional<SourceConfirmation> confirmation;
+    // By an answer to this node, so the members are told at once.
+    bool isAnnounced { false };
+};
 struct CoordinatorLeaseAcquired {
     CoordinatorInfo coordinator;
 };
@@ -191,8 +197,9 @@
 // A call found no target while the member view may be incomplete.
 struct MembershipRefreshRequested { };
 
-using MembershipMessage = std::variant<TargetsAnnounced, ConfigurationVersionApplied, CoordinatorLeaseAcquired,
-    RemindMembers, SeedsFound, ReplicateDeparture, StoreEraSeen, MembershipRefreshRequested, BeginDrain>;
+using MembershipMessage
+    = std::variant<TargetsAnnounced, ConfigurationVersionApplied, ConfigurationConfirmed, CoordinatorLeaseAcquired,
+        RemindMembers, SeedsFound, ReplicateDeparture, StoreEraSeen, MembershipRefreshRequested, BeginDrain>;
 
 // --- to the configuration task
 
@@ -200,6 +207,8 @@
     NodeId node;
     uint64_t version { 0 };
     bool isOwnZone { false };
+    std::optional<SourceConfirmation> confirmation;
+    bool isInOwnGroup { false };
 };
 struct ConfigurationFetched {
     NodeId node;
@@ -252,9 +261,9 @@
     std::function<void()> done;
 };
 
-using ConfigurationMessage = std::variant<PeerVersion, StoreEraSeen, RecordDeparture, ConfigurationFetched,
-    ConfigurationFetchFailed, ZoneMembersChanged, ZoneMemberLeft, SelfDeclaredDead, ConnectivityChanged, OperatorChange,
-    ListZones, RetireZone, BeginDrain>;
+using ConfigurationMessage = std::variant<PeerVersion, PauseNoticed, StoreEraSeen, RecordDeparture,
+    ConfigurationFetched, ConfigurationFetchFailed, ZoneMembersChanged, ZoneMemberLeft, SelfDeclaredDead,
+    ConnectivityChanged, OperatorChange, ListZones, RetireZone, BeginDrain>;
 
 // --- to the patient task
 
--- a/Source/Peer/GossipCodec.cpp
+++ b/Source/Peer/GossipCodec.cpp
@@ -141,7 +141,16 @@
     }
 }
 
-void writeContent(Schema::GossipMessage::Builder builder, const GossipContent& content)
+void writeConfirmation(Schema::GossipMessage::Builder builder, const SourceConfirmation& confirmation, Instant now)
+{
+    int64_t age = toMilliseconds(std::max(now - confirmation.at, Duration::zero()));
+    if (age > UINT16_MAX)
+        return;
+    builder.setConfirmedBy(confirmation.reader.value);
+    builder.setConfirmedMsAgo(static_cast<uint16_t>(age));
+}
+
+void writeContent(Schema::GossipMessage::Builder builder, const GossipContent& content, Instant now)
 {
     if (!content.records.empty()) {
         auto records = builder.initRecords(static_cast<unsigned>(content.records.size()));
@@ -157,6 +166,8 @@
         builder.setRequestedBuckets(kj::arrayPtr(buckets.data(), buckets.size()));
     }
     builder.setStoreEra(content.storeEra);
+    if (content.confirmation)
+        writeConfirmation(builder, *content.confirmation, now);
     if (content.coordinator) {
         auto coordinator = builder.initCoordinator();
         coordinator.setZone(textOf(content.coordinator->zone.text));
@@ -165,7 +176,7 @@
     }
 }
 
-GossipContent readContent(Schema::GossipMessage::Reader reader)
+GossipContent readContent(Schema::GossipMessage::Reader reader, Instant now)
 {
     GossipContent content;
     auto records = reader.getRecords();
@@ -174,6 +185,9 @@
         content.records.push_back(readRecord(it));
     readDepartures(reader, content.records);
     content.storeEra = reader.getStoreEra();
+    if (reader.getConfirmedBy())
+        content.confirmation = SourceConfirmation { .at = now - std::chrono::milliseconds(reader.getConfirmedMsAgo()),
+            .reader = NodeId { reader.getConfirmedBy() } };
     auto digest = reader.getDigest();
     require(!digest.size() || digest.size() == gossipBucketCount, "invalid digest");
     if (digest.size()) {
@@ -211,13 +225,13 @@
     endpoint.setPort(message.targetEndpoint.port);
 }
 
-GossipMessage readMessage(Schema::GossipMessage::Reader reader)
+GossipMessage readMessage(Schema::GossipMessage::Reader reader, Instant now)
 {
     require(reader.getProtocolVersion() == gossipProtocolVersion, "unknown protocol version");
     uint64_t sequence = reader.getSequence();
     NodeId sender { reader.getSender() };
     require(!sender.isNull(), "message without a sender");
-    GossipContent content = readContent(reader);
+    GossipContent content = readContent(reader, now);
     switch (reader.which()) {
     case Schema::GossipMessage::PING:
         return GossipPing { .sequence = sequence, .sender = sender, .content = std::move(content) };
@@ -243,16 +257,16 @@
 
 } // namespace
 
-Result<std::string, PeerError> encodeGossip(const GossipMessage& message)
+Result<std::string, PeerError> encodeGossip(const GossipMessage& message, Instant now)
 {
     return decode<std::string>([&]() -> Result<std::string, PeerError> {
         capnp::MallocMessageBuilder builder;
         auto root = builder.initRoot<Schema::GossipMessage>();
         root.setProtocolVersion(gossipProtocolVersion);
-        auto writeAll = [&root](const auto& it) {
+        auto writeAll = [&root, now](const auto& it) {
             root.setSequence(it.sequence);
             root.setSender(it.sender.value);
-            writeContent(root, it.content);
+            writeContent(root, it.content, now);
             writeKind(root, it);
         };
         std::visit(writeAll, message);
@@ -265,7 +279,7 @@
     });
 }
 
-Result<GossipMessage, PeerError> decodeGossip(std::string_view datagram)
+Result<GossipMessage, PeerError> decodeGossip(std::string_view datagram, Instant now)
 {
     if (datagram.size() > maximumGossipBytes)
         return PeerError::MessageTooLarge;
@@ -274,7 +288,7 @@
         options.traversalLimitInWords = maximumUnpackedWords;
         kj::ArrayInputStream stream(kj::arrayPtr(reinterpret_cast<const kj::byte*>(datagram.data()), datagram.size()));
         capnp::PackedMessageReader reader(stream, options);
-        return readMessage(reader.getRoot<Schema::GossipMessage>());
+        return readMessage(reader.getRoot<Schema::GossipMessage>(), now);
     });
 }
 
--- a/Source/Peer/GossipSocket.cpp
+++ b/Source/Peer/GossipSocket.cpp
@@ -67,7 +67,7 @@
     auto address = toSocketAddress(to);
     if (!address)
         return PeerError::InvalidAddress;
-    auto datagram = encodeGossip(message);
+    auto datagram = encodeGossip(message, steadyNow());
     if (!datagram)
         return datagram.error();
     const std::string& bytes = datagram.value();
@@ -101,7 +101,7 @@
 {
     ++m_counters.received;
     m_counters.receivedBytes += datagram.size();
-    auto message = decodeGossip(datagram);
+    auto message = decodeGossip(datagram, steadyNow());
     if (message)
         m_receiver(toEndpoint(from), std::move(message).value());
     else
--- a/Source/Peer/GossipSocket.h
+++ b/Source/Peer/GossipSocket.h
@@ -13,8 +13,9 @@
 
 namespace Berylport {
 
-Result<std::string, PeerError> encodeGossip(const GossipMessage&);
-Result<GossipMessage, PeerError> decodeGossip(std::string_view);
+// Times are ages on the wire, so both take the present time.
+Result<std::string, PeerError> encodeGossip(const GossipMessage&, Instant now);
+Result<GossipMessage, PeerError> decodeGossip(std::string_view, Instant now);
 
 struct GossipCounters {
     uint64_t sent { 0 };
--- a/Source/Schema/Generated/Gossip.capnp.h
+++ b/Source/Schema/Generated/Gossip.capnp.h
@@ -139,7 +139,7 @@
   struct PingRequest;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b510e4f7c5a5ca63, 5, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(b510e4f7c5a5ca63, 6, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -154,7 +154,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d2c7ff790a23e652, 5, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(d2c7ff790a23e652, 6, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -728,6 +728,10 @@
 
   inline  ::uint64_t getStoreEra() const;
 
+  inline  ::uint64_t getConfirmedBy() const;
+
+  inline  ::uint16_t getConfirmedMsAgo() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -818,6 +822,12 @@
   inline  ::uint64_t getStoreEra();
   inline void setStoreEra( ::uint64_t value);
 
+  inline  ::uint64_t getConfirmedBy();
+  inline void setConfirmedBy( ::uint64_t value);
+
+  inline  ::uint16_t getConfirmedMsAgo();
+  inline void setConfirmedMsAgo( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1759,6 +1769,34 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t GossipMessage::Reader::getConfirmedBy() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GossipMessage::Builder::getConfirmedBy() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void GossipMessage::Builder::setConfirmedBy( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t GossipMessage::Reader::getConfirmedMsAgo() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t GossipMessage::Builder::getConfirmedMsAgo() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void GossipMessage::Builder::setConfirmedMsAgo( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t GossipMessage::PingRequest::Reader::getTarget() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
--- a/Source/Schema/Gossip.capnp
+++ b/Source/Schema/Gossip.capnp
@@ -75,6 +75,10 @@
   departures @11 :List(Departure);
   # Rises each time the shared store has lost changes that it had acknowledged. Zero when the sender knows none.
   storeEra @12 :UInt64;
+  # Who last asked the source of the configuration whether a version newer than the sender's exists, and how long ago.
+  # Zero when the sender knows of nobody, or if it is too long ago to be of use.
+  confirmedBy @13 :UInt64;
+  confirmedMsAgo @14 :UInt16;
   union {
     ping @7 :Void;
     ack @8 :Void;
--- a/benchmarks/CapacityBenchmark.cpp
+++ b/benchmarks/CapacityBenchmark.cpp
@@ -273,17 +273,17 @@
 
 size_t datagramSize(size_t records, bool withDigest)
 {
-    auto encoded = encodeGossip(makePing(records, withDigest));
+    auto encoded = encodeGossip(makePing(records, withDigest), steadyNow());
     return encoded ? encoded.value().size() : 0;
 }
 
 void measureDatagram(size_t records)
 {
     GossipMessage message = makePing(records, false);
-    std::string encoded = encodeGossip(message).value();
+    std::string encoded = encodeGossip(message, steadyNow()).value();
     bool isValid = true;
-    double encodeTime = timeEach(5000, [&](size_t) { isValid &= encodeGossip(message).has_value(); });
-    double decodeTime = timeEach(5000, [&](size_t) { isValid &= decodeGossip(encoded).has_value(); });
+    double encodeTime = timeEach(5000, [&](size_t) { isValid &= encodeGossip(message, steadyNow()).has_value(); });
+    double decodeTime = timeEach(5000, [&](size_t) { isValid &= decodeGossip(encoded, steadyNow()).has_value(); });
     std::printf("| %zu | %zu | %zu | %.1f | %.1f |\n", records, encoded.size(), datagramSize(records, true),
         isValid ? encodeTime : 0, isValid ? decodeTime : 0);
 }
@@ -335,7 +335,7 @@
 
     static size_t wireSize(const GossipMessage& message)
     {
-        auto encoded = encodeGossip(message);
+        auto encoded = encodeGossip(message, steadyNow());
         return encoded ? encoded.value().size() + datagramHeaders : 0;
     }
 
--- a/tests/Membership/MembershipServiceTest.cpp
+++ b/tests/Membership/MembershipServiceTest.cpp
@@ -226,6 +226,30 @@
 }
 
 // Few members ask the store, so the others would not know for a minute that what they wrote may be lost.
+TEST(MembershipService, AConfirmationIsAnnouncedToEveryMemberOfASmallFleet)
+{
+    GossipNetwork network(11);
+    for (int n = 0; n < 12; ++n)
+        network.addNode(n % 2 ? "kandy-a" : "galle-a");
+    network.run(5s);
+    SourceConfirmation confirmation { .at = network.now(), .reader = NodeId { 7 } };
+    network.service(3).setConfirmation(confirmation);
+    MembershipActions actions;
+    network.service(3).announceConfirmation(actions);
+    EXPECT_EQ(actions.size(), 11u);
+    for (auto& it : actions) {
+        auto& message = std::get<GossipAck>(std::get<SendGossip>(it).message);
+        EXPECT_EQ(message.content.confirmation, confirmation);
+        EXPECT_EQ(message.content.records.size(), 1u);
+        MembershipActions received;
+        network.service(4).receive(message, {}, network.now(), received);
+        auto seen = std::ranges::find_if(
+            received, [](auto& action) { return std::holds_alternative<PeerVersionSeen>(action); });
+        ASSERT_NE(seen, received.end());
+        EXPECT_EQ(std::get<PeerVersionSeen>(*seen).confirmation, confirmation);
+    }
+}
+
 TEST(MembershipService, EveryMemberLearnsTheEraOfTheStore)
 {
     GossipNetwork network(11);
