--- a/tests/Configuration/FollowerFleet.h
+++ b/tests/Configuration/FollowerFleet.h
@@ -128,6 +128,8 @@
         node.follower
             = std::make_unique<SourceFollower>(SourceFollower::Options { .self = node.id, .seed = m_random.next() });
         node.sound = m_now;
+        node.pausedUntil = {};
+        node.delayed.clear();
         std::vector<FollowerAction> actions;
         node.follower->start(m_now, actions);
         perform(n, actions);
