Show under which calls a target ended

The logs named lost attempts, but not whether the target's process had ended or only a connection, nor which calls ran there. When a target closes the connection of a call, its node asks the health path over a new connection before it reports the loss: a refused connection or another process there means that the target has ended. The end gets a number, which is logged beside the target (target-ended) and, with the request's id, by each caller's node (call-ended-with-target), and travels in the reply of the attempt. The target counts as down at once, and no longer only after the next call was refused.

Calls are routed and retried as before. Admission, Calls, Log, Node, Peer and PlatformAdapter tests pass.

--- a/Source/Admission/AdmissionController.cpp
+++ b/Source/Admission/AdmissionController.cpp
@@ -466,14 +466,15 @@
     tick(now, actions);
 }
 
-void AdmissionController::targetLost(Instant now, const AttemptId& id, LossReason reason, AdmissionActions& actions)
+void AdmissionController::targetLost(
+    Instant now, const AttemptId& id, LossReason reason, AdmissionActions& actions, uint64_t targetEnd)
 {
     LedgerEntry* entry = releaseSlot(now, id);
     if (!entry)
         return;
     m_serviceTime.recordLoss(now - std::get<AttemptRunning>(entry->state).startedAt);
     m_tenants.decrementRunning(entry->tenant);
-    for (auto& it : m_ledger.lose(*entry, reason))
+    for (auto& it : m_ledger.lose(*entry, { .reason = reason, .targetEnd = targetEnd }))
         actions.push_back(Reply { .link = it.link, .reply = makeReply(now, it.requestedId, *entry) });
     tick(now, actions);
 }
@@ -558,7 +559,7 @@
         };
     }
     if (auto* lost = std::get_if<AttemptLost>(&entry.state))
-        return CallLost { .id = requestedId, .reason = lost->reason, .load = load(now) };
+        return CallLost { .id = requestedId, .reason = lost->reason, .load = load(now), .targetEnd = lost->targetEnd };
     return makeRefusal(now, requestedId, RefusalReason::RefusedBefore);
 }
 
--- a/Source/Admission/AdmissionController.h
+++ b/Source/Admission/AdmissionController.h
@@ -95,8 +95,8 @@
     void query(Instant now, LinkId, const CallQuery&, AdmissionActions&);
 
     void targetAnswered(Instant now, const AttemptId&, HttpResponse, AdmissionActions&);
-    // Some of the request may have reached the target.
-    void targetLost(Instant now, const AttemptId&, LossReason, AdmissionActions&);
+    // Some of the request may have reached the target. targetEnd as in CallLost.
+    void targetLost(Instant now, const AttemptId&, LossReason, AdmissionActions&, uint64_t targetEnd = 0);
     // No byte of the request was sent.
     void targetNotReached(Instant now, const AttemptId&, AdmissionActions&);
 
--- a/Source/Admission/CallLedger.cpp
+++ b/Source/Admission/CallLedger.cpp
@@ -207,9 +207,9 @@
     return waiting;
 }
 
-std::vector<Requester> CallLedger::lose(LedgerEntry& entry, LossReason reason)
+std::vector<Requester> CallLedger::lose(LedgerEntry& entry, const AttemptLost& loss)
 {
-    entry.state = AttemptLost { .reason = reason };
+    entry.state = loss;
     return complete(entry);
 }
 
--- a/Source/Admission/CallLedger.h
+++ b/Source/Admission/CallLedger.h
@@ -55,6 +55,8 @@
 
 struct AttemptLost {
     LossReason reason { LossReason::TargetClosed };
+    // As in CallLost.
+    uint64_t targetEnd { 0 };
 };
 
 // A further attempt of a non-idempotent call; its outcome is that of the original.
@@ -131,7 +133,7 @@
     void start(LedgerEntry&, Instant now);
     std::vector<Requester> finish(LedgerEntry&, HttpResponse);
     std::vector<Requester> refuse(Instant now, LedgerEntry&, RefusalReason);
-    std::vector<Requester> lose(LedgerEntry&, LossReason);
+    std::vector<Requester> lose(LedgerEntry&, const AttemptLost&);
 
     void evictExpired(Instant now);
 
--- a/Source/Base/CallMessages.h
+++ b/Source/Base/CallMessages.h
@@ -160,6 +160,8 @@
     AttemptId id;
     LossReason reason { LossReason::LinkLost };
     LoadReport load;
+    // Names the end of the target's process while it ran the request; zero if it did not end.
+    uint64_t targetEnd { 0 };
 };
 
 // Answers a query about an attempt that is still queued or running; the final reply follows on its own.
--- a/Source/Log/EventCatalogue.cpp
+++ b/Source/Log/EventCatalogue.cpp
@@ -44,6 +44,9 @@
         "A target on this VM named another limit of requests per second, or none any more." },
     { Event::TargetLimitMalformed, Level::Warning, "target-limit-malformed",
         "A target on this VM names a limit that cannot be read; the limit held stays in force." },
+    { Event::TargetEnded, Level::Warning, "target-ended",
+        "The target's process ended while it ran the calls counted; `end` names this end in the log of each caller's "
+        "node." },
     { Event::RequestRejected, Level::Info, "request-rejected",
         "A caller's request was malformed, ambiguous or too large." },
     { Event::CallerConnectionLimit, Level::Warning, "caller-connection-limit",
@@ -59,6 +62,8 @@
         "A call ended without an answer of its target; fields give outcome and reason." },
     { Event::CallOutcomeUnknown, Level::Warning, "call-outcome-unknown",
         "A call ended without its answer and may have run; its caller was told so." },
+    { Event::CallEndedWithTarget, Level::Warning, "call-ended-with-target",
+        "The target's process ended while it ran this call; other calls ran there as well." },
     { Event::RetryBudgetExhausted, Level::Warning, "retry-budget-exhausted",
         "A service's retries are stopped by its budget." },
     { Event::LateReplyDropped, Level::Debug, "late-reply-dropped",
--- a/Source/Log/EventCatalogue.h
+++ b/Source/Log/EventCatalogue.h
@@ -55,6 +55,7 @@
     LogLinesDropped = 117,
     TargetLimitChanged = 118,
     TargetLimitMalformed = 119,
+    TargetEnded = 120,
 
     RequestRejected = 201,
     CallerConnectionLimit = 202,
@@ -72,6 +73,7 @@
     AttemptSent = 405,
     CallAnswered = 406,
     CallerLeft = 407,
+    CallEndedWithTarget = 408,
 
     AdmissionRefused = 501,
     AnswerDropped = 502,
--- a/Source/Node/EntryTask.cpp
+++ b/Source/Node/EntryTask.cpp
@@ -324,13 +324,26 @@
     m_attemptSpans.erase(id);
     if (auto* refused = std::get_if<CallRefused>(&message.reply))
         recordAttemptEnd(id, toText(refused->reason));
-    else if (auto* lost = std::get_if<CallLost>(&message.reply))
+    else if (auto* lost = std::get_if<CallLost>(&message.reply)) {
         recordAttemptEnd(id, toText(lost->reason));
+        noteTargetEnd(*lost);
+    }
     CallActions actions;
     m_coordinator.replyArrived(message.reply, steadyNow(), actions);
     perform(actions);
 }
 
+void EntryTask::noteTargetEnd(const CallLost& lost)
+{
+    auto caller = m_callers.find(lost.id.call);
+    if (!lost.targetEnd || caller == m_callers.end())
+        return;
+    logEvent(Event::CallEndedWithTarget,
+        { { "request", caller->second.requestId }, { "call", toText(lost.id.call) },
+            { "attempt", std::to_string(lost.id.attempt) }, { "service", caller->second.service.text },
+            { "end", std::to_string(lost.targetEnd) } });
+}
+
 void EntryTask::handle(AttemptNotSent&& message)
 {
     m_attemptSpans.erase(message.id);
--- a/Source/Node/EntryTask.h
+++ b/Source/Node/EntryTask.h
@@ -90,6 +90,7 @@
     void sendToOwnTarget(CallRequest);
     void refuse(const Responder&, std::string_view requestId, EntryRefusal);
     void logAttempt(const SendAttempt&);
+    void noteTargetEnd(const CallLost&);
     void recordAttemptEnd(const AttemptId&, std::string_view outcome);
     void logAnswer(const AnswerCaller&, const Caller&, Instant now);
     void wake();
--- a/Source/Node/LocalTarget.h
+++ b/Source/Node/LocalTarget.h
@@ -79,6 +79,8 @@
         Instant sentAt;
     };
     std::unordered_map<AttemptId, RunningRequest> running;
+    // Calls whose connection the target has closed, while it is checked whether its process has ended.
+    std::vector<AttemptId> closedCalls;
     // Whether its latest answer named a request limit that cannot be read.
     bool isLimitMalformed { false };
     // Number that admission assigned to the last process pause.
--- a/Source/Node/TargetTask.cpp
+++ b/Source/Node/TargetTask.cpp
@@ -26,6 +26,10 @@
 
 // A target that has not answered its first probe by then is used without knowing whether it limits requests.
 constexpr Duration firstAnswerTimeout = std::chrono::milliseconds(250);
+// How long it may take to learn whether a target that closed its connections has ended, and how often it is asked when
+// it closes that connection too.
+constexpr Duration endCheckTimeout = std::chrono::milliseconds(250);
+constexpr uint32_t maximumEndChecks = 3;
 // While a target limits requests, at most one in this many is a probe, as far as the longest probe interval allows.
 constexpr int64_t requestsPerProbe = 10;
 
@@ -458,6 +462,10 @@
     target.announcedAt = now;
     target.isRefusing = false;
     if (isOtherProcess) {
+        // The check is over, as its answer will not come.
+        if (!target.closedCalls.empty())
+            endChecked(target, true);
+        target.isRefusing = false;
         failRunning(target, LossReason::TargetClosed);
         target.connect(announcement.endpoint, dialect().allowsCloseDelimitedAnswers());
         target.admission.resetRequestLimit();
@@ -565,7 +573,7 @@
     };
     target.running[id]
         = { .handle = target.client->send(std::move(http), options,
-                guarded([this, &target, id](SendResult result) { targetFinished(target, id, std::move(result)); })),
+                guarded([this, &target, id](SendResult result) { requestEnded(target, id, std::move(result)); })),
               .sentAt = now };
 }
 
@@ -612,7 +620,65 @@
         m_queryReply(std::move(answer.reply));
 }
 
-void TargetTask::targetFinished(LocalTarget& target, const AttemptId& id, SendResult result)
+void TargetTask::requestEnded(LocalTarget& target, const AttemptId& id, SendResult result)
+{
+    auto* lost = std::get_if<Lost>(&result);
+    if (!lost || lost->reason != LossReason::TargetClosed) {
+        targetFinished(target, id, std::move(result));
+        return;
+    }
+    target.closedCalls.push_back(id);
+    if (target.closedCalls.size() == 1)
+        checkForEnd(target, 1);
+}
+
+void TargetTask::checkForEnd(LocalTarget& target, uint32_t attempt)
+{
+    if (target.isRefusing) {
+        endChecked(target, true);
+        return;
+    }
+    HttpRequest request { .method = "GET", .target = target.healthPath };
+    m_context.metrics.add("berylport_measuring_bytes_total", probeBytes);
+    target.client->send(std::move(request), { .deadline = steadyNow() + endCheckTimeout, .isIdempotent = true },
+        guarded([this, &target, attempt](const SendResult& result) {
+            auto* lost = std::get_if<Lost>(&result);
+            bool isUnclear = lost && lost->reason == LossReason::TargetClosed;
+            if (isUnclear && attempt < maximumEndChecks) {
+                checkForEnd(target, attempt + 1);
+                return;
+            }
+            auto* notSent = std::get_if<NotSent>(&result);
+            bool hasEnded = notSent && notSent->reason == NotSentReason::ConnectFailed;
+            if (auto* response = std::get_if<HttpResponse>(&result)) {
+                std::string instance = dialect().readTargetAnswer(*response).instance;
+                hasEnded = !instance.empty() && target.announcement && instance != target.announcement->instance;
+            }
+            endChecked(target, hasEnded);
+        }));
+}
+
+void TargetTask::endChecked(LocalTarget& target, bool hasEnded)
+{
+    auto calls = std::exchange(target.closedCalls, {});
+    uint64_t end = 0;
+    if (hasEnded) {
+        // Differs from the numbers of other processes with near certainty, as node ids are random.
+        end = m_context.self.value + ++m_targetEnds;
+        logEvent(Event::TargetEnded,
+            { { "service", target.service.text },
+                { "instance", target.announcement ? target.announcement->instance : std::string() },
+                { "calls", std::to_string(calls.size()) }, { "end", std::to_string(end) } });
+        m_context.metrics.add(
+            { .name = "berylport_target_ends_total", .labelName = "service", .labelValue = target.service.text });
+        if (!std::exchange(target.isRefusing, true))
+            stateChanged(target);
+    }
+    for (auto& id : calls)
+        targetFinished(target, id, Lost { .reason = LossReason::TargetClosed }, end);
+}
+
+void TargetTask::targetFinished(LocalTarget& target, const AttemptId& id, SendResult result, uint64_t targetEnd)
 {
     Instant now = steadyNow();
     auto running = target.running.find(id);
@@ -635,7 +701,7 @@
         target.admission.targetAnswered(now, id, std::move(*response), actions);
     } else if (auto* lost = std::get_if<Lost>(&result)) {
         target.probe.noteCallFailed(now);
-        target.admission.targetLost(now, id, lost->reason, actions);
+        target.admission.targetLost(now, id, lost->reason, actions, targetEnd);
     } else {
         auto reason = std::get<NotSent>(result).reason;
         bool isRefused = reason == NotSentReason::ConnectFailed || reason == NotSentReason::ConnectTimeout;
--- a/Source/Node/TargetTask.h
+++ b/Source/Node/TargetTask.h
@@ -62,7 +62,11 @@
     void perform(LocalTarget&, CancelOnTarget&&);
     void perform(LocalTarget&, Reply&&);
     void perform(LocalTarget&, AnswerQuery&&);
-    void targetFinished(LocalTarget&, const AttemptId&, SendResult);
+    void requestEnded(LocalTarget&, const AttemptId&, SendResult);
+    void targetFinished(LocalTarget&, const AttemptId&, SendResult, uint64_t targetEnd = 0);
+    // Whether the target has ended is known when a new connection is refused or answered.
+    void checkForEnd(LocalTarget&, uint32_t attempt);
+    void endChecked(LocalTarget&, bool hasEnded);
     void failRunning(LocalTarget&, LossReason);
     static void logTargetAnswer(const LocalTarget&, const AttemptId&, const SendResult&);
     void applyDefinition(LocalTarget&, const ServiceDefinition&);
@@ -104,6 +108,8 @@
     // independently.
     uint64_t m_pauseNumber { 0 };
     bool m_isDraining { false };
+    // Ends of targets seen by this process.
+    uint64_t m_targetEnds { 0 };
     Instant m_nextCheck;
     // Time for which the timer is set.
     Instant m_nextWake;
--- a/Source/Peer/PeerCodec.cpp
+++ b/Source/Peer/PeerCodec.cpp
@@ -161,6 +161,7 @@
     auto lost = builder.initLost();
     lost.setReason(static_cast<Schema::LossReason>(reply.reason));
     writeLoad(lost.initLoad(), reply.load);
+    lost.setTargetEnd(reply.targetEnd);
 }
 
 void writeReply(Schema::CallReply::Builder builder, const CallPending& reply)
@@ -203,6 +204,7 @@
     reply.id = id;
     reply.reason = readEnum(reader.getReason(), LossReason::AnswerDropped);
     reply.load = readLoad(reader.getLoad());
+    reply.targetEnd = reader.getTargetEnd();
     return reply;
 }
 
--- a/Source/Schema/Generated/Peer.capnp.h
+++ b/Source/Schema/Generated/Peer.capnp.h
@@ -262,7 +262,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bd6e91dcfa0179bc, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(bd6e91dcfa0179bc, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1607,6 +1607,8 @@
   inline bool hasLoad() const;
   inline  ::Berylport::Schema::LoadReport::Reader getLoad() const;
 
+  inline  ::uint64_t getTargetEnd() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1645,6 +1647,9 @@
   inline void adoptLoad(::capnp::Orphan< ::Berylport::Schema::LoadReport>&& value);
   inline ::capnp::Orphan< ::Berylport::Schema::LoadReport> disownLoad();
 
+  inline  ::uint64_t getTargetEnd();
+  inline void setTargetEnd( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4644,6 +4649,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t CallLost::Reader::getTargetEnd() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CallLost::Builder::getTargetEnd() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CallLost::Builder::setTargetEnd( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::Berylport::Schema::CallReply::Which CallReply::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Schema/Peer.capnp
+++ b/Source/Schema/Peer.capnp
@@ -132,6 +132,8 @@
 struct CallLost {
   reason @0 :LossReason;
   load @1 :LoadReport;
+  # Names the end of the target's process while it ran the request; zero if it did not end.
+  targetEnd @2 :UInt64;
 }
 
 # Answers call and query. Only a query may be answered with pending.
