--- a/Source/Admission/AdmissionController.cpp
+++ b/Source/Admission/AdmissionController.cpp
@@ -200,6 +200,8 @@
         return RefusalReason::DeadlinePassed;
     if (!m_ledger.hasRoom())
         return RefusalReason::LedgerFull;
+    if (request.isSuspect && m_ledger.liveSuspects())
+        return RefusalReason::BesideSuspect;
     if (request.mayHandOn && isVmSlow())
         return RefusalReason::SlowNow;
     if (request.mayHandOn && isBusierThanOthers(now, request))
--- a/Source/Admission/CallLedger.cpp
+++ b/Source/Admission/CallLedger.cpp
@@ -128,6 +128,8 @@
     LedgerEntry& entry = addEntry(request.id, request.deadline, kind);
     entry.tenant = request.tenant;
     entry.depth = request.depth;
+    entry.isSuspect = request.isSuspect;
+    m_liveSuspects += request.isSuspect;
     entry.retryTokens = request.retryTokens;
     entry.retryTokensLeft = request.retryTokens;
     m_calls[request.id.call].queued = request.id.attempt;
@@ -186,6 +188,7 @@
 std::vector<Requester> CallLedger::complete(LedgerEntry& entry)
 {
     m_expiry.emplace(entry.retainUntil, entry.id);
+    m_liveSuspects -= entry.isSuspect;
     auto it = m_calls.find(entry.id.call);
     if (it != m_calls.end() && it->second.running == entry.id.attempt)
         it->second.running.reset();
--- a/Source/Admission/CallLedger.h
+++ b/Source/Admission/CallLedger.h
@@ -75,6 +75,7 @@
     // Not evicted before this time; always later than deadline plus retention.
     Instant retainUntil;
     uint32_t depth { 0 };
+    bool isSuspect { false };
     uint32_t retryTokens { 0 };
     // Part of retryTokens that no nested call has taken.
     uint32_t retryTokensLeft { 0 };
@@ -137,6 +138,8 @@
 
     void evictExpired(Instant now);
 
+    // Queued and running attempts of requests under which targets ended.
+    size_t liveSuspects() const { return m_liveSuspects; }
     size_t size() const { return m_entries.size(); }
     size_t retainedBytes() const { return m_retainedBytes; }
     size_t tombstones() const { return m_tombstones; }
@@ -176,6 +179,7 @@
     std::list<AttemptId> m_retained;
     size_t m_retainedBytes { 0 };
     size_t m_tombstones { 0 };
+    size_t m_liveSuspects { 0 };
     // Refusals that have no entry. None of them was ever started.
     RefusedFilter m_refused;
     // Latest deadline among evicted attempts that may have run. Guards queries when a service's kind, and with it
--- a/Source/Base/CallMessages.cpp
+++ b/Source/Base/CallMessages.cpp
@@ -5,7 +5,8 @@
 
 bool asksForAnotherTarget(RefusalReason reason)
 {
-    return reason == RefusalReason::SlowNow || reason == RefusalReason::BusyNow;
+    return reason == RefusalReason::SlowNow || reason == RefusalReason::BusyNow
+        || reason == RefusalReason::BesideSuspect;
 }
 
 std::string_view toText(RefusalReason reason)
@@ -45,6 +46,10 @@
         return "slow-now";
     case RefusalReason::BusyNow:
         return "busy-now";
+    case RefusalReason::BesideSuspect:
+        return "beside-suspect";
+    case RefusalReason::EndsTargets:
+        return "ends-targets";
     }
     return "unknown";
 }
--- a/Source/Base/CallMessages.h
+++ b/Source/Base/CallMessages.h
@@ -80,6 +80,8 @@
     bool mayHandOn { false };
     // Calls that run and wait at a target of the service on average, as the sender knows it.
     double meanLoad { 0 };
+    // A target has ended under this request, so it does not run beside another such request.
+    bool isSuspect { false };
 };
 
 struct CallCancel {
@@ -118,6 +120,10 @@
     SlowNow,
     // All slots of the target are taken at this moment, while targets of the service have room on average.
     BusyNow,
+    // A target has ended under this request, and the target runs another one of which the same is true.
+    BesideSuspect,
+    // Too many targets have ended under this request.
+    EndsTargets,
 };
 
 std::string_view toText(RefusalReason);
--- a/Source/Base/GossipMessages.h
+++ b/Source/Base/GossipMessages.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Base/Identifiers.h"
+#include "Base/SuspectRecord.h"
 #include "Base/TargetRecord.h"
 #include "Base/Time.h"
 
@@ -99,6 +100,9 @@
     uint64_t storeEra { 0 };
     // Of the configuration version in the sender's own record.
     std::optional<SourceConfirmation> confirmation {};
+    // Requests under which targets ended, and a digest of all that the sender knows; zero if it knows none.
+    std::vector<SuspectRecord> suspects {};
+    uint64_t suspectDigest { 0 };
     bool operator==(const GossipContent&) const = default;
 };
 
--- a/Source/Calls/CallCoordinator.cpp
+++ b/Source/Calls/CallCoordinator.cpp
@@ -51,6 +51,8 @@
         return rejectCall(start, CallFailure::DepthExceeded, actions);
     if (start.deadline <= now)
         return rejectCall(start, CallFailure::DeadlineExceeded, actions);
+    if (m_options.suspicion && m_options.suspicion(start) == Suspicion::Refused)
+        return rejectCall(start, CallFailure::Refused, actions);
     ++m_counters.calls;
     auto id = start.id;
     auto& call = m_calls.try_emplace(id, std::move(start)).first->second;
@@ -148,6 +150,12 @@
     return it == m_calls.end() ? nullptr : &it->second;
 }
 
+const StartCall* CallCoordinator::findCall(const CallId& id) const
+{
+    auto it = m_calls.find(id);
+    return it == m_calls.end() ? nullptr : &it->second.start();
+}
+
 ServiceState& CallCoordinator::stateOf(const PendingCall& call)
 {
     return m_services.stateOf(call.start().definition.name);
@@ -290,6 +298,11 @@
     finishWithFailure(call, CallFailure::ResponseLost, now, actions);
 }
 
+Suspicion CallCoordinator::suspicionOf(const PendingCall& call) const
+{
+    return m_options.suspicion ? m_options.suspicion(call.start()) : Suspicion::None;
+}
+
 bool CallCoordinator::hasTimeForAttempt(PendingCall& call, Instant now)
 {
     return call.remaining(now) > stateOf(call).latency.median();
@@ -327,6 +340,10 @@
         return false;
     if (!hasTimeForAttempt(call, now))
         return false;
+    if (suspicionOf(call) == Suspicion::Refused) {
+        call.recordRefusal(RefusalReason::EndsTargets, m_options.refusedRetryAfter);
+        return false;
+    }
     bool isSoftRefusal = asksForAnotherTarget(*call.lastRefusal());
     auto selection = selectUntried(call, now);
     if (!selection)
@@ -366,6 +383,8 @@
 {
     if (!call.isIdempotent() || !call.hasToken() || !hasTimeForAttempt(call, now))
         return false;
+    if (suspicionOf(call) >= Suspicion::Repeated)
+        return false;
     auto selection = selectForRetry(call, now);
     if (!trySpendToken(call, selection, now))
         return false;
@@ -379,6 +398,8 @@
     call.hedgeAt.reset();
     if (call.liveAttemptCount() != 1 || !call.hasToken() || !hasTimeForAttempt(call, now))
         return;
+    if (suspicionOf(call) != Suspicion::None)
+        return;
     auto selection = selectUntried(call, now);
     if (!trySpendToken(call, selection, now))
         return;
@@ -396,6 +417,7 @@
     ++m_counters.attempts;
     auto request = call.request(attempt);
     request.meanLoad = stateOf(call).selector.meanLoad();
+    request.isSuspect = suspicionOf(call) != Suspicion::None;
     actions.push_back(SendAttempt { selection.target, std::move(request) });
 }
 
@@ -526,7 +548,13 @@
 
 void CallCoordinator::rejectCall(const StartCall& start, CallFailure failure, CallActions& actions) const
 {
-    actions.push_back(AnswerCaller { .id = start.id, .outcome = RunOutcome::NotRun, .result = failure, .refusal = {} });
+    AnswerCaller answer { .id = start.id, .outcome = RunOutcome::NotRun, .result = failure, .refusal = {} };
+    // Of all reasons for which a call is never sent, only one is a refusal.
+    if (failure == CallFailure::Refused) {
+        answer.refusal = RefusalReason::EndsTargets;
+        answer.retryAfter = m_options.refusedRetryAfter;
+    }
+    actions.push_back(std::move(answer));
 }
 
 } // namespace Berylport
--- a/Source/Calls/CallCoordinator.h
+++ b/Source/Calls/CallCoordinator.h
@@ -48,6 +48,8 @@
 
     ServiceTable& services() { return m_services; }
     const Counters& counters() const { return m_counters; }
+    // Null when the call has ended.
+    const StartCall* findCall(const CallId&) const;
     size_t pendingCount() const { return m_calls.size(); }
 
 private:
@@ -72,6 +74,7 @@
     void redispatchOrFail(PendingCall&, WasSent, Instant now, CallActions&);
     void handleLoss(PendingCall&, Attempt&, LossReason, Instant now, CallActions&);
 
+    Suspicion suspicionOf(const PendingCall&) const;
     bool hasTimeForAttempt(PendingCall&, Instant now);
     bool tryRedispatch(PendingCall&, WasSent, Instant now, CallActions&);
     bool tryRetry(PendingCall&, Instant now, CallActions&);
--- a/Source/Calls/CallOptions.h
+++ b/Source/Calls/CallOptions.h
@@ -1,12 +1,17 @@
 // Options of the call coordinator.
 #pragma once
 
+#include "Base/SuspectRecord.h"
 #include "Base/Time.h"
 #include "Calls/CallBudget.h"
 #include "Routing/Routing.h"
 
+#include <functional>
+
 namespace Berylport {
 
+struct StartCall;
+
 struct CallOptions {
     RoutingOptions routing;
     // Retries after a failure, and hedges.
@@ -27,6 +32,10 @@
     // Whether idempotent calls are also retried after an internal error of the target (500). This is faster than a
     // retry by the caller.
     bool retriesServerErrors { false };
+    // How far a request is suspected to end targets; none are if this is not set.
+    std::function<Suspicion(const StartCall&)> suspicion {};
+    // Retry delay given to the caller of a request that is not sent because it ends targets.
+    Duration refusedRetryAfter { std::chrono::hours(1) };
     // Retry delay given to the caller when no refusal stated one.
     Duration defaultRetryAfter { std::chrono::milliseconds(500) };
     uint64_t seed { 1 };
--- a/Source/Membership/MembershipService.cpp
+++ b/Source/Membership/MembershipService.cpp
@@ -22,6 +22,9 @@
 // A relayed probe without an ack within this time has failed.
 constexpr Duration relayTimeout = std::chrono::seconds(5);
 
+// Records of suspects in one datagram; each takes at most 100 bytes.
+constexpr size_t suspectsPerDatagram = 10;
+
 constexpr Duration expiryInterval = std::chrono::seconds(1);
 
 } // namespace
@@ -143,6 +146,7 @@
             checkDeadSender(it.sender);
             m_isNewSender = !m_table.find(it.sender);
             receiveContent(it.sender, it.content, now, actions);
+            receiveSuspects(it.content, from, now, actions);
             handle(it, from, now, actions);
         },
         message);
@@ -171,6 +175,53 @@
     actions.push_back(StoreEraLearned { .era = m_storeEra });
 }
 
+void MembershipService::receiveSuspects(
+    const GossipContent& content, const Endpoint& from, Instant now, MembershipActions& actions)
+{
+    if (!m_suspects)
+        return;
+    for (auto& it : content.suspects)
+        m_suspects->merge(it, now);
+    suspectsChanged(actions);
+    // Messages with suspects hold a part of what the sender knows, and what it knew before this node's answer.
+    if (!content.suspects.empty() || content.suspectDigest == m_suspects->digest() || now < m_nextSuspectExchange)
+        return;
+    m_nextSuspectExchange = now + m_options.suspectInterval;
+    sendSuspects(m_suspects->records(), from, actions);
+}
+
+void MembershipService::suspectsChanged(MembershipActions& actions)
+{
+    if (!m_suspects)
+        return;
+    auto changes = m_suspects->takeChanges();
+    if (changes.empty())
+        return;
+    auto members = m_table.presentNodes();
+    if (members.size() > m_options.confirmationGroup)
+        members = sample(std::move(members), m_options.suspectFanout);
+    for (NodeId it : members)
+        sendSuspects(changes, m_table.find(it)->record.gossip, actions);
+}
+
+void MembershipService::sendSuspects(std::vector<SuspectRecord> records, const Endpoint& to, MembershipActions& actions)
+{
+    // The limit on datagrams truncates the list, so each exchange starts at a random record.
+    if (!records.empty())
+        std::ranges::rotate(records, records.begin() + static_cast<ptrdiff_t>(m_random.below(records.size())));
+    size_t datagrams = 0;
+    for (size_t first = 0; first < records.size() && datagrams++ < m_options.maximumSuspectDatagrams;
+         first += suspectsPerDatagram) {
+        size_t count = std::min(suspectsPerDatagram, records.size() - first);
+        // Sequence number zero acknowledges no probe.
+        GossipAck message { .sequence = 0, .sender = m_table.self().node, .content = {} };
+        message.content.suspectDigest = m_suspects->digest();
+        message.content.suspects.assign(
+            records.begin() + static_cast<ptrdiff_t>(first), records.begin() + static_cast<ptrdiff_t>(first + count));
+        actions.push_back(SendGossip { .to = to, .message = std::move(message) });
+    }
+}
+
 void MembershipService::checkDeadSender(NodeId sender)
 {
     m_deadSenderRecord.reset();
@@ -480,6 +531,8 @@
         return;
     m_nextExpiry = now + expiryInterval;
     m_table.removeExpired(now);
+    if (m_suspects)
+        m_suspects->expire(now);
     std::erase_if(m_relayedProbes, [&](auto& entry) { return now >= entry.second.expires; });
 }
 
@@ -545,6 +598,7 @@
     GossipContent content;
     content.storeEra = m_storeEra;
     content.confirmation = m_confirmation;
+    content.suspectDigest = m_suspects ? m_suspects->digest() : 0;
     content.records.push_back(m_table.self());
     size_t bytes = estimateBytes(m_table.self());
     auto append = [&](const MemberRecord& record) {
--- a/Source/Membership/MembershipService.h
+++ b/Source/Membership/MembershipService.h
@@ -9,6 +9,7 @@
 #include "Membership/MemberTable.h"
 #include "Membership/PartitionDetector.h"
 #include "Membership/RecordQueue.h"
+#include "Suspects/Suspects.h"
 
 #include <map>
 #include <span>
@@ -105,6 +106,12 @@
     Duration seedResponseTimeout { std::chrono::seconds(10) };
     // Members that are told of a confirmation by the source at once; a larger fleet is divided into groups.
     size_t confirmationGroup { 64 };
+    // Members told at once of requests under which targets ended; all members of a fleet of at most
+    // `confirmationGroup`. Members to whom this is new tell it on.
+    size_t suspectFanout { 4 };
+    // At most this many datagrams with suspects go to a member that knows other ones, in each interval to one member.
+    size_t maximumSuspectDatagrams { 4 };
+    Duration suspectInterval { std::chrono::milliseconds(200) };
     // Members notified immediately that this node leaves.
     size_t leaveFanout { 8 };
 };
@@ -135,6 +142,10 @@
     void announceConfirmation(MembershipActions&);
     // Every message carries the latest era known.
     void setStoreEra(uint64_t era) { m_storeEra = std::max(m_storeEra, era); }
+    // Keeps the table equal to those of the other members. It must outlive this object.
+    void shareSuspects(SuspectTable& table) { m_suspects = &table; }
+    // Tells others of what has changed in the table.
+    void suspectsChanged(MembershipActions&);
     // Publishes the departure in this node's record, so that a later process on this VM learns of it while the store is
     // unavailable.
     void setDeparted(const TargetIncarnation&, MembershipActions&);
@@ -160,6 +171,8 @@
 
 private:
     bool isInOwnGroup(NodeId) const;
+    void receiveSuspects(const GossipContent&, const Endpoint& from, Instant now, MembershipActions&);
+    void sendSuspects(std::vector<SuspectRecord>, const Endpoint& to, MembershipActions&);
     void checkDeadSender(NodeId);
     void receiveContent(NodeId sender, const GossipContent&, Instant now, MembershipActions&);
     void handle(const GossipPing&, const Endpoint& from, Instant now, MembershipActions&);
@@ -232,6 +245,8 @@
     std::optional<TargetIncarnation> m_predecessorDeparture;
     uint64_t m_storeEra { 0 };
     std::optional<SourceConfirmation> m_confirmation;
+    SuspectTable* m_suspects { nullptr };
+    Instant m_nextSuspectExchange;
     // Highest version of this node's record that others have declared dead.
     uint64_t m_lastDeclaredDeadVersion { 0 };
     // Ping requests awaiting the probed member's ack, by the sequence number of the relayed ping.
--- a/Source/Node/DirectoryTask.cpp
+++ b/Source/Node/DirectoryTask.cpp
@@ -14,6 +14,8 @@
 constexpr Duration seedContactTimeout = std::chrono::seconds(2);
 // After a longer pause of the process nothing that was heard before it counts as recent.
 constexpr Duration shortPause = std::chrono::milliseconds(250);
+// Requests to be refused that are kept in the row of this node.
+constexpr size_t maximumStoredRefused = 16;
 constexpr Duration wakeInterval = std::chrono::milliseconds(100);
 
 std::string rowKey(const NodeContext& context)
@@ -248,6 +250,7 @@
 
 void DirectoryTask::tickRows()
 {
+    storeRefused();
     std::vector<RowAction> actions;
     m_rows.tick(steadyNow(), actions);
     perform(actions);
@@ -318,7 +321,10 @@
 {
     noteEra(listed.era);
     auto found = m_rows.rowsRead(decodeRows(listed.rows), listed.era, steadyNow());
-    if (found && found->departed)
+    if (!found)
+        return;
+    restoreRefused(*found);
+    if (found->departed)
         restoreDeparture(*found->departed);
 }
 
@@ -328,6 +334,27 @@
     m_context.ports.membership.post(ReplicateDeparture { .departed = departed });
 }
 
+void DirectoryTask::restoreRefused(const RowsRead& rows)
+{
+    auto& suspects = m_context.suspects;
+    suspects.restoreRefused(rows.refused, false, steadyNow());
+    suspects.restoreRefused(rows.ownRefused, true, steadyNow());
+    m_context.ports.membership.post(SuspectsChanged {});
+}
+
+void DirectoryTask::storeRefused()
+{
+    auto& suspects = m_context.suspects;
+    if (suspects.revision() == m_storedRevision)
+        return;
+    m_storedRevision = suspects.revision();
+    auto refused = suspects.ownRefused();
+    refused.resize(std::min(refused.size(), maximumStoredRefused));
+    // The order must not change with each refusal.
+    std::ranges::sort(refused);
+    m_rows.setRefused(std::move(refused), steadyNow());
+}
+
 void DirectoryTask::rowsListed(const ListedRows& listed)
 {
     noteEra(listed.era);
@@ -340,6 +367,7 @@
     logEvent(Event::SeedsFound,
         { { "seeds", std::to_string(found.peers.size()) },
             { "complete", m_rows.isPeerListComplete() ? "yes" : "no" } });
+    restoreRefused(found);
     if (found.departed)
         restoreDeparture(*found.departed);
     m_seedsFoundAt = m_seedsFoundAt.value_or(now);
--- a/Source/Node/DirectoryTask.h
+++ b/Source/Node/DirectoryTask.h
@@ -52,6 +52,9 @@
     void rowsListed(const ListedRows&);
     void ownRowRead(const ListedRows&);
     void restoreDeparture(const TargetIncarnation&);
+    void restoreRefused(const RowsRead&);
+    // Keeps the requests that this node has found to end targets in its row.
+    void storeRefused();
     // Called with each response of the store before its content is used, and with what members know.
     void noteEra(uint64_t era);
     void completeDepartures();
@@ -68,6 +71,8 @@
     Timer m_timer;
     NodeRegistrar m_rows;
     uint64_t m_storeEra { 0 };
+    // Revision of the table of suspects that the row was made from.
+    uint64_t m_storedRevision { 0 };
     // When the rows were read for the first time.
     std::optional<Instant> m_seedsFoundAt;
     // Callbacks to invoke once the row of this node is durable.
--- a/Source/Node/EntryTask.cpp
+++ b/Source/Node/EntryTask.cpp
@@ -21,6 +21,9 @@
 // Added to the parent's deadline when nested calls are recognized, as a nested call carries that deadline in whole
 // milliseconds and needs some time to arrive.
 constexpr Duration nestedCallTolerance = std::chrono::milliseconds(5);
+constexpr uint16_t firstServerError = 500;
+// Bodies up to this size are hashed to remember that their requests ended well.
+constexpr size_t maximumRememberedBody = 4096;
 constexpr std::string_view actionPathPrefix = "/berylport/actions/";
 
 SelectionPolicy policyFor(std::string_view name)
@@ -36,7 +39,24 @@
     return FreshLoad {};
 }
 
-CallOptions makeCallOptions(const NodeContext& context)
+RequestScope scopeOf(const NodeContext& context, const StartCall& call)
+{
+    std::string_view destination = call.definition.name.text;
+    if (!call.route.empty())
+        destination = findHeader(call.http.headers, "Host").value_or(std::string_view());
+    return { .origin = context.settings.node.service, .account = call.tenant.text, .destination = destination };
+}
+
+Suspicion suspicionOf(NodeContext& context, const StartCall& call)
+{
+    RequestScope scope = scopeOf(context, call);
+    Suspicion suspicion = context.suspects.suspicion(scope, call.http);
+    if (suspicion == Suspicion::Refused)
+        context.suspects.recordRefusal(hashRequest(scope, call.http), steadyNow());
+    return suspicion;
+}
+
+CallOptions makeCallOptions(NodeContext& context)
 {
     CallOptions options;
     options.routing.zone = context.settings.node.zone;
@@ -48,6 +68,7 @@
     options.retriesServerErrors = context.settings.retry.serverErrors;
     options.maximumSoftRefusals = maximumSoftRefusals;
     options.maximumRefusals += maximumSoftRefusals;
+    options.suspicion = [&context](const StartCall& call) { return suspicionOf(context, call); };
     return options;
 }
 
@@ -326,22 +347,44 @@
         recordAttemptEnd(id, toText(refused->reason));
     else if (auto* lost = std::get_if<CallLost>(&message.reply)) {
         recordAttemptEnd(id, toText(lost->reason));
-        noteTargetEnd(*lost);
-    }
+        recordEvidence(*lost);
+    } else
+        recordEvidence(std::get<CallAnswered>(message.reply));
     CallActions actions;
     m_coordinator.replyArrived(message.reply, steadyNow(), actions);
     perform(actions);
 }
 
-void EntryTask::noteTargetEnd(const CallLost& lost)
+void EntryTask::recordEvidence(const CallLost& lost)
 {
-    auto caller = m_callers.find(lost.id.call);
-    if (!lost.targetEnd || caller == m_callers.end())
+    const StartCall* call = m_coordinator.findCall(lost.id.call);
+    if (!lost.targetEnd || !call)
         return;
+    auto& suspects = m_context.suspects;
+    RequestFingerprint fingerprint = hashRequest(scopeOf(m_context, *call), call->http);
+    suspects.recordEnd(fingerprint, lost.targetEnd, steadyNow());
+    m_context.ports.membership.post(SuspectsChanged {});
     logEvent(Event::CallEndedWithTarget,
-        { { "request", caller->second.requestId }, { "call", toText(lost.id.call) },
-            { "attempt", std::to_string(lost.id.attempt) }, { "service", caller->second.service.text },
-            { "end", std::to_string(lost.targetEnd) } });
+        { { "request", call->requestId }, { "call", toText(lost.id.call) },
+            { "attempt", std::to_string(lost.id.attempt) }, { "service", call->definition.name.text },
+            { "end", std::to_string(lost.targetEnd) }, { "fingerprint", toText(fingerprint) },
+            { "suspicion", std::string(toText(suspects.suspicion(fingerprint))) } });
+}
+
+void EntryTask::recordEvidence(const CallAnswered& answered)
+{
+    const StartCall* call = m_coordinator.findCall(answered.id.call);
+    if (!call || answered.http.status >= firstServerError)
+        return;
+    auto& suspects = m_context.suspects;
+    RequestScope scope = scopeOf(m_context, *call);
+    bool isLarge = call->http.body.size() > maximumRememberedBody;
+    if (isLarge && suspects.suspicion(scope, call->http) == Suspicion::None)
+        return;
+    uint64_t before = suspects.revision();
+    suspects.recordGoodEnd(hashRequest(scope, call->http), steadyNow());
+    if (suspects.revision() != before)
+        m_context.ports.membership.post(SuspectsChanged {});
 }
 
 void EntryTask::handle(AttemptNotSent&& message)
@@ -355,6 +398,10 @@
 
 void EntryTask::handle(QueryReplied&& message)
 {
+    if (auto* lost = std::get_if<CallLost>(&message.reply))
+        recordEvidence(*lost);
+    else if (auto* answered = std::get_if<CallAnswered>(&message.reply))
+        recordEvidence(*answered);
     CallActions actions;
     m_coordinator.queryAnswered(message.reply, steadyNow(), actions);
     perform(actions);
--- a/Source/Node/EntryTask.h
+++ b/Source/Node/EntryTask.h
@@ -90,7 +90,9 @@
     void sendToOwnTarget(CallRequest);
     void refuse(const Responder&, std::string_view requestId, EntryRefusal);
     void logAttempt(const SendAttempt&);
-    void noteTargetEnd(const CallLost&);
+    // Whether a request ends its targets.
+    void recordEvidence(const CallLost&);
+    void recordEvidence(const CallAnswered&);
     void recordAttemptEnd(const AttemptId&, std::string_view outcome);
     void logAnswer(const AnswerCaller&, const Caller&, Instant now);
     void wake();
--- a/Source/Node/MembershipTask.cpp
+++ b/Source/Node/MembershipTask.cpp
@@ -76,6 +76,7 @@
     if (!endpoint)
         throw std::runtime_error("cannot listen for gossip on " + toText(m_context.settings.listen.gossip) + ": "
             + std::string(toText(endpoint.error())));
+    m_service.shareSuspects(m_context.suspects);
     m_context.ports.membership.attach(&m_mailbox);
     if (!m_context.settings.membership.seeds.empty()) {
         MembershipActions actions;
@@ -147,6 +148,13 @@
 
 void MembershipTask::handle(StoreEraSeen&& seen) { m_service.setStoreEra(seen.era); }
 
+void MembershipTask::handle(SuspectsChanged&&)
+{
+    MembershipActions actions;
+    m_service.suspectsChanged(actions);
+    perform(actions);
+}
+
 void MembershipTask::handle(MembershipRefreshRequested&&)
 {
     MembershipActions actions;
--- a/Source/Node/MembershipTask.h
+++ b/Source/Node/MembershipTask.h
@@ -23,6 +23,7 @@
     void handle(SeedsFound&&);
     void handle(ReplicateDeparture&&);
     void handle(StoreEraSeen&&);
+    void handle(SuspectsChanged&&);
     void handle(MembershipRefreshRequested&&);
     void handle(BeginDrain&&);
 
--- a/Source/Node/NodeContext.h
+++ b/Source/Node/NodeContext.h
@@ -7,6 +7,7 @@
 #include "Node/NodeAdapter.h"
 #include "Node/NodeMessages.h"
 #include "Settings/Settings.h"
+#include "Suspects/Suspects.h"
 
 #include <memory>
 #include <opentracing/tracer.h>
@@ -61,6 +62,8 @@
     MetricRegistry metrics;
     std::shared_ptr<opentracing::Tracer> tracer;
     NodeStatus status;
+    // Requests under which targets end, here or at other nodes.
+    SuspectTable suspects;
 };
 
 } // namespace Berylport
--- a/Source/Node/NodeMessages.h
+++ b/Source/Node/NodeMessages.h
@@ -194,12 +194,14 @@
 struct StoreEraSeen {
     uint64_t era { 0 };
 };
+// This node has learned something new about requests under which targets end; the table of suspects holds it.
+struct SuspectsChanged { };
 // A call found no target while the member view may be incomplete.
 struct MembershipRefreshRequested { };
 
-using MembershipMessage
-    = std::variant<TargetsAnnounced, ConfigurationVersionApplied, ConfigurationConfirmed, CoordinatorLeaseAcquired,
-        RemindMembers, SeedsFound, ReplicateDeparture, StoreEraSeen, MembershipRefreshRequested, BeginDrain>;
+using MembershipMessage = std::variant<TargetsAnnounced, ConfigurationVersionApplied, ConfigurationConfirmed,
+    CoordinatorLeaseAcquired, RemindMembers, SeedsFound, ReplicateDeparture, StoreEraSeen, SuspectsChanged,
+    MembershipRefreshRequested, BeginDrain>;
 
 // --- to the configuration task
 
--- a/Source/Node/NodeRegistrar.cpp
+++ b/Source/Node/NodeRegistrar.cpp
@@ -17,7 +17,8 @@
 
 bool NodeRegistrar::isDurable() const
 {
-    return m_storedVersion && m_stored && m_stored->gossip == m_row.gossip && m_stored->departed == m_row.departed;
+    return m_storedVersion && m_stored && m_stored->gossip == m_row.gossip && m_stored->departed == m_row.departed
+        && m_stored->refused == m_row.refused;
 }
 
 void NodeRegistrar::tick(Instant now, std::vector<RowAction>& actions)
@@ -77,10 +78,15 @@
     for (auto& it : rows) {
         if (it.key != m_key) {
             result.peers.push_back(it.row.gossip);
+            result.refused.insert(result.refused.end(), it.row.refused.begin(), it.row.refused.end());
             continue;
         }
         m_stored = it.row;
         m_storedVersion = it.version;
+        // Earlier processes on this VM have found them.
+        result.ownRefused = it.row.refused;
+        if (m_row.refused.empty())
+            m_row.refused = it.row.refused;
         if (it.row.departed && !m_row.departed) {
             m_row.departed = it.row.departed;
             result.departed = it.row.departed;
@@ -124,6 +130,14 @@
     m_nextAttempt = now;
 }
 
+void NodeRegistrar::setRefused(std::vector<RequestFingerprint> refused, Instant now)
+{
+    if (m_row.refused == refused)
+        return;
+    m_row.refused = std::move(refused);
+    m_nextAttempt = now;
+}
+
 void NodeRegistrar::retryLater(Instant now)
 {
     Duration wait = std::min(m_options.firstRetry * (1 << std::min<uint32_t>(m_failures, 8)), m_options.maximumRetry);
--- a/Source/Node/NodeRegistrar.h
+++ b/Source/Node/NodeRegistrar.h
@@ -43,6 +43,9 @@
     std::vector<Endpoint> peers;
     // Departure recorded by an earlier process on this VM.
     std::optional<TargetIncarnation> departed;
+    // Requests to be refused, in the rows of the other nodes and in that of this one.
+    std::vector<RequestFingerprint> refused {};
+    std::vector<RequestFingerprint> ownRefused {};
 };
 
 enum class WriteFailure : uint8_t {
@@ -82,6 +85,8 @@
 
     // Updates the row of this node; written at the next tick, without waiting for a retry delay.
     void setDeparted(const TargetIncarnation&, Instant now);
+    // The same for the requests that this node found to end targets.
+    void setRefused(std::vector<RequestFingerprint>, Instant now);
     // The stored row has the present address and departure of this node.
     bool isDurable() const;
     // The rows were read after the address of this node had become durable.
--- a/Source/Node/NodeRow.h
+++ b/Source/Node/NodeRow.h
@@ -3,10 +3,12 @@
 
 #include "Base/Identifiers.h"
 #include "Node/AnnouncementOrder.h"
+#include "Suspects/Suspects.h"
 
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Berylport {
 
@@ -16,6 +18,8 @@
     Endpoint gossip;
     // Target on this VM whose departure was acknowledged last.
     std::optional<TargetIncarnation> departed;
+    // Requests that are not sent to targets any more, as a target ended under them at a call of this node; sorted.
+    std::vector<RequestFingerprint> refused {};
     bool operator==(const NodeRow&) const = default;
 };
 
--- a/Source/Peer/GossipCodec.cpp
+++ b/Source/Peer/GossipCodec.cpp
@@ -21,6 +21,10 @@
 constexpr size_t maximumRecords = 128;
 constexpr size_t maximumTargets = 32;
 constexpr size_t maximumInstanceBytes = 200;
+constexpr size_t maximumSuspects = 16;
+constexpr size_t maximumEnds = 8;
+// A good end that is not told.
+constexpr uint32_t noAge = UINT32_MAX;
 constexpr size_t ipv4Size = 4;
 constexpr size_t ipv6Size = 16;
 
@@ -150,6 +154,54 @@
     builder.setConfirmedMsAgo(static_cast<uint16_t>(age));
 }
 
+uint32_t ageOf(Instant at, Instant now)
+{
+    return static_cast<uint32_t>(std::clamp<int64_t>(toMilliseconds(now - at), 0, noAge - 1));
+}
+
+void writeSuspect(Schema::Suspect::Builder builder, const SuspectRecord& record, Instant now)
+{
+    auto& [head, body] = record.fingerprint;
+    auto bytes = builder.initFingerprint(static_cast<unsigned>(head.size() + body.size()));
+    std::ranges::copy(body, std::ranges::copy(head, bytes.begin()).out);
+    if (!record.ends.empty())
+        builder.setEnds(kj::arrayPtr(record.ends.data(), record.ends.size()));
+    builder.setIsRefused(record.isRefused);
+    builder.setLastEndMsAgo(ageOf(record.lastEndAt, now));
+    if (record.goodEndAt)
+        builder.setGoodEndMsAgo(ageOf(*record.goodEndAt, now));
+}
+
+SuspectRecord readSuspect(Schema::Suspect::Reader reader, Instant now)
+{
+    SuspectRecord record;
+    auto& [head, body] = record.fingerprint;
+    auto bytes = reader.getFingerprint();
+    require(bytes.size() == head.size() + body.size(), "invalid fingerprint");
+    std::copy_n(bytes.begin(), head.size(), head.begin());
+    std::copy_n(bytes.begin() + head.size(), body.size(), body.begin());
+    require(reader.getEnds().size() <= maximumEnds, "too many target ends");
+    for (uint64_t it : reader.getEnds())
+        record.ends.push_back(it);
+    require(std::ranges::is_sorted(record.ends), "unsorted target ends");
+    record.isRefused = reader.getIsRefused();
+    record.lastEndAt = now - std::chrono::milliseconds(reader.getLastEndMsAgo());
+    if (reader.getGoodEndMsAgo() != noAge)
+        record.goodEndAt = now - std::chrono::milliseconds(reader.getGoodEndMsAgo());
+    return record;
+}
+
+void writeSuspects(Schema::GossipMessage::Builder builder, const GossipContent& content, Instant now)
+{
+    builder.setSuspectDigest(content.suspectDigest);
+    if (content.suspects.empty())
+        return;
+    auto suspects = builder.initSuspects(static_cast<unsigned>(content.suspects.size()));
+    unsigned i = 0;
+    for (auto& it : content.suspects)
+        writeSuspect(suspects[i++], it, now);
+}
+
 void writeContent(Schema::GossipMessage::Builder builder, const GossipContent& content, Instant now)
 {
     if (!content.records.empty()) {
@@ -166,6 +218,7 @@
         builder.setRequestedBuckets(kj::arrayPtr(buckets.data(), buckets.size()));
     }
     builder.setStoreEra(content.storeEra);
+    writeSuspects(builder, content, now);
     if (content.confirmation)
         writeConfirmation(builder, *content.confirmation, now);
     if (content.coordinator) {
@@ -185,6 +238,10 @@
         content.records.push_back(readRecord(it));
     readDepartures(reader, content.records);
     content.storeEra = reader.getStoreEra();
+    content.suspectDigest = reader.getSuspectDigest();
+    require(reader.getSuspects().size() <= maximumSuspects, "too many suspects");
+    for (auto it : reader.getSuspects())
+        content.suspects.push_back(readSuspect(it, now));
     if (reader.getConfirmedBy())
         content.confirmation = SourceConfirmation { .at = now - std::chrono::milliseconds(reader.getConfirmedMsAgo()),
             .reader = NodeId { reader.getConfirmedBy() } };
--- a/Source/Peer/PeerCodec.cpp
+++ b/Source/Peer/PeerCodec.cpp
@@ -35,7 +35,7 @@
 
 static_assert(static_cast<int>(Schema::RequestKind::PATIENT) == static_cast<int>(RequestKind::Patient));
 static_assert(static_cast<int>(Schema::Priority::BULK) == static_cast<int>(Priority::Bulk));
-static_assert(static_cast<int>(Schema::RefusalReason::BUSY_NOW) == static_cast<int>(RefusalReason::BusyNow));
+static_assert(static_cast<int>(Schema::RefusalReason::ENDS_TARGETS) == static_cast<int>(RefusalReason::EndsTargets));
 static_assert(static_cast<int>(Schema::RefusalReason::DRAINING) == static_cast<int>(RefusalReason::Draining));
 static_assert(static_cast<int>(Schema::LossReason::ANSWER_DROPPED) == static_cast<int>(LossReason::AnswerDropped));
 
@@ -190,7 +190,7 @@
 {
     CallRefused reply;
     reply.id = id;
-    reply.reason = readEnum(reader.getReason(), RefusalReason::BusyNow);
+    reply.reason = readEnum(reader.getReason(), RefusalReason::EndsTargets);
     uint64_t retryAfter = reader.getRetryAfterMicroseconds();
     require(retryAfter <= static_cast<uint64_t>(maximumRetryAfter.count()), "retry-after out of range");
     reply.retryAfter = Duration(static_cast<int64_t>(retryAfter));
@@ -282,6 +282,7 @@
     builder.setRequestId(textOf(request.requestId));
     builder.setRoute(textOf(request.route));
     builder.setMayHandOn(request.mayHandOn);
+    builder.setIsSuspect(request.isSuspect);
     builder.setMeanLoad(static_cast<float>(request.meanLoad));
     builder.setRetryTokens(request.retryTokens);
     builder.setDepth(request.depth);
@@ -362,6 +363,7 @@
         request.requestId = readText(reader.getRequestId(), maximumRequestIdLength);
         request.route = readText(reader.getRoute(), maximumRouteLength);
         request.mayHandOn = reader.getMayHandOn();
+        request.isSuspect = reader.getIsSuspect();
         request.meanLoad = reader.getMeanLoad();
         request.retryTokens = reader.getRetryTokens();
         request.depth = reader.getDepth();
--- a/Source/Schema/Generated/Gossip.capnp.h
+++ b/Source/Schema/Generated/Gossip.capnp.h
@@ -5,6 +5,9 @@
 
 #include <capnp/generated-header-support.h>
 #include <kj/windows-sanity.h>
+#if !CAPNP_LITE
+#include <capnp/capability.h>
+#endif  // !CAPNP_LITE
 
 #if CAPNP_VERSION != 9002
 #error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
@@ -37,6 +40,7 @@
 CAPNP_DECLARE_SCHEMA(d1dfbfce2faab7d9);
 CAPNP_DECLARE_SCHEMA(ae4fd4c47c5e62a7);
 CAPNP_DECLARE_SCHEMA(92eee3003d0de855);
+CAPNP_DECLARE_SCHEMA(f0bbaec662a3d1c8);
 CAPNP_DECLARE_SCHEMA(b510e4f7c5a5ca63);
 CAPNP_DECLARE_SCHEMA(d2c7ff790a23e652);
 
@@ -125,6 +129,21 @@
   };
 };
 
+struct Suspect {
+  Suspect() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f0bbaec662a3d1c8, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct GossipMessage {
   GossipMessage() = delete;
 
@@ -139,7 +158,7 @@
   struct PingRequest;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b510e4f7c5a5ca63, 6, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(b510e4f7c5a5ca63, 7, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -154,7 +173,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d2c7ff790a23e652, 6, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(d2c7ff790a23e652, 7, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -678,6 +697,113 @@
 };
 #endif  // !CAPNP_LITE
 
+class Suspect::Reader {
+public:
+  typedef Suspect Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFingerprint() const;
+  inline  ::capnp::Data::Reader getFingerprint() const;
+
+  inline bool hasEnds() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getEnds() const;
+
+  inline bool getIsRefused() const;
+
+  inline  ::uint32_t getLastEndMsAgo() const;
+
+  inline  ::uint32_t getGoodEndMsAgo() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Suspect::Builder {
+public:
+  typedef Suspect Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFingerprint();
+  inline  ::capnp::Data::Builder getFingerprint();
+  inline void setFingerprint( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initFingerprint(unsigned int size);
+  inline void adoptFingerprint(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownFingerprint();
+
+  inline bool hasEnds();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getEnds();
+  inline void setEnds( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setEnds(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initEnds(unsigned int size);
+  inline void adoptEnds(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownEnds();
+
+  inline bool getIsRefused();
+  inline void setIsRefused(bool value);
+
+  inline  ::uint32_t getLastEndMsAgo();
+  inline void setLastEndMsAgo( ::uint32_t value);
+
+  inline  ::uint32_t getGoodEndMsAgo();
+  inline void setGoodEndMsAgo( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Suspect::Pipeline {
+public:
+  typedef Suspect Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class GossipMessage::Reader {
 public:
   typedef GossipMessage Reads;
@@ -732,6 +858,11 @@
 
   inline  ::uint16_t getConfirmedMsAgo() const;
 
+  inline bool hasSuspects() const;
+  inline  ::capnp::List< ::Berylport::Schema::Suspect,  ::capnp::Kind::STRUCT>::Reader getSuspects() const;
+
+  inline  ::uint64_t getSuspectDigest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -828,6 +959,16 @@
   inline  ::uint16_t getConfirmedMsAgo();
   inline void setConfirmedMsAgo( ::uint16_t value);
 
+  inline bool hasSuspects();
+  inline  ::capnp::List< ::Berylport::Schema::Suspect,  ::capnp::Kind::STRUCT>::Builder getSuspects();
+  inline void setSuspects( ::capnp::List< ::Berylport::Schema::Suspect,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Berylport::Schema::Suspect,  ::capnp::Kind::STRUCT>::Builder initSuspects(unsigned int size);
+  inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::Berylport::Schema::Suspect,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Berylport::Schema::Suspect,  ::capnp::Kind::STRUCT>> disownSuspects();
+
+  inline  ::uint64_t getSuspectDigest();
+  inline void setSuspectDigest( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1446,6 +1587,120 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Suspect::Reader::hasFingerprint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Suspect::Builder::hasFingerprint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Suspect::Reader::getFingerprint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Suspect::Builder::getFingerprint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Suspect::Builder::setFingerprint( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Suspect::Builder::initFingerprint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Suspect::Builder::adoptFingerprint(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Suspect::Builder::disownFingerprint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Suspect::Reader::hasEnds() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Suspect::Builder::hasEnds() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Suspect::Reader::getEnds() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Suspect::Builder::getEnds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Suspect::Builder::setEnds( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void Suspect::Builder::setEnds(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Suspect::Builder::initEnds(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Suspect::Builder::adoptEnds(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Suspect::Builder::disownEnds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Suspect::Reader::getIsRefused() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Suspect::Builder::getIsRefused() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Suspect::Builder::setIsRefused(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Suspect::Reader::getLastEndMsAgo() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Suspect::Builder::getLastEndMsAgo() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Suspect::Builder::setLastEndMsAgo( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Suspect::Reader::getGoodEndMsAgo() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, 4294967295u);
+}
+
+inline  ::uint32_t Suspect::Builder::getGoodEndMsAgo() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, 4294967295u);
+}
+inline void Suspect::Builder::setGoodEndMsAgo( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value, 4294967295u);
+}
+
 inline  ::Berylport::Schema::GossipMessage::Which GossipMessage::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
@@ -1797,6 +2052,54 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool GossipMessage::Reader::hasSuspects() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipMessage::Builder::hasSuspects() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Berylport::Schema::Suspect,  ::capnp::Kind::STRUCT>::Reader GossipMessage::Reader::getSuspects() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Berylport::Schema::Suspect,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Berylport::Schema::Suspect,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::getSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Berylport::Schema::Suspect,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void GossipMessage::Builder::setSuspects( ::capnp::List< ::Berylport::Schema::Suspect,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Berylport::Schema::Suspect,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Berylport::Schema::Suspect,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::initSuspects(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Berylport::Schema::Suspect,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void GossipMessage::Builder::adoptSuspects(
+    ::capnp::Orphan< ::capnp::List< ::Berylport::Schema::Suspect,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Berylport::Schema::Suspect,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Berylport::Schema::Suspect,  ::capnp::Kind::STRUCT>> GossipMessage::Builder::disownSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Berylport::Schema::Suspect,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t GossipMessage::Reader::getSuspectDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GossipMessage::Builder::getSuspectDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void GossipMessage::Builder::setSuspectDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t GossipMessage::PingRequest::Reader::getTarget() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
--- a/Source/Schema/Generated/Peer.capnp.h
+++ b/Source/Schema/Generated/Peer.capnp.h
@@ -53,6 +53,8 @@
   OVERLOADED,
   SLOW_NOW,
   BUSY_NOW,
+  BESIDE_SUSPECT,
+  ENDS_TARGETS,
 };
 CAPNP_DECLARE_ENUM(RefusalReason, 8319083cb7784206);
 CAPNP_DECLARE_SCHEMA(96c77f54b897e4f8);
@@ -1168,6 +1170,8 @@
 
   inline float getMeanLoad() const;
 
+  inline bool getIsSuspect() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1265,6 +1269,9 @@
   inline float getMeanLoad();
   inline void setMeanLoad(float value);
 
+  inline bool getIsSuspect();
+  inline void setIsSuspect(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4336,6 +4343,20 @@
       ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool CallRequest::Reader::getIsSuspect() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<225>() * ::capnp::ELEMENTS);
+}
+
+inline bool CallRequest::Builder::getIsSuspect() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<225>() * ::capnp::ELEMENTS);
+}
+inline void CallRequest::Builder::setIsSuspect(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<225>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CallQuery::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Source/Schema/Gossip.capnp
+++ b/Source/Schema/Gossip.capnp
@@ -61,6 +61,18 @@
   startMs @2 :UInt64;
 }
 
+# A request under which targets ended.
+struct Suspect {
+  # 24 bytes.
+  fingerprint @0 :Data;
+  # Numbers of the target ends under it; empty if it is refused.
+  ends @1 :List(UInt64);
+  isRefused @2 :Bool;
+  lastEndMsAgo @3 :UInt32;
+  # When it last ended well; the largest number if it did not.
+  goodEndMsAgo @4 :UInt32 = 0xffffffff;
+}
+
 struct GossipMessage {
   protocolVersion @0 :UInt16;
   sequence @1 :UInt64;
@@ -79,6 +91,9 @@
   # Zero when the sender knows of nobody, or if it is too long ago to be of use.
   confirmedBy @13 :UInt64;
   confirmedMsAgo @14 :UInt16;
+  suspects @15 :List(Suspect);
+  # Over all suspects that the sender knows; zero for none.
+  suspectDigest @16 :UInt64;
   union {
     ping @7 :Void;
     ack @8 :Void;
--- a/Source/Schema/Peer.capnp
+++ b/Source/Schema/Peer.capnp
@@ -40,6 +40,8 @@
   overloaded @14;
   slowNow @15;
   busyNow @16;
+  besideSuspect @17;
+  endsTargets @18;
 }
 
 enum LossReason {
@@ -107,6 +109,8 @@
   mayHandOn @13 :Bool;
   # Calls that run and wait at a target of the service on average, as the sender knows it.
   meanLoad @14 :Float32;
+  # A target has ended under this request, so it does not run beside another such request.
+  isSuspect @15 :Bool;
 }
 
 struct CallQuery {
--- a/StandIns/Target/StandInTarget.cpp
+++ b/StandIns/Target/StandInTarget.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <charconv>
 #include <cstdio>
+#include <cstdlib>
 #include <deque>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
@@ -132,6 +133,7 @@
     behaviour.status = number("status", behaviour.status);
     behaviour.failsFast = flag("fail", behaviour.failsFast);
     behaviour.isFrozen = flag("freeze", behaviour.isFrozen);
+    behaviour.endsProcess = flag("end", behaviour.endsProcess);
     behaviour.answer = parseAnswerMode(text("answer", "")).value_or(behaviour.answer);
     behaviour.padding = number("size", behaviour.padding);
     auto health = text("health", "");
@@ -366,6 +368,8 @@
         base,
         [](evutil_socket_t, short, void* argument) {
             auto& ready = *static_cast<Work*>(argument);
+            if (ready.behaviour.endsProcess)
+                std::_Exit(EXIT_FAILURE);
             if (ready.behaviour.nestedPort && !ready.behaviour.failsFast)
                 ready.target->callNested(ready);
             else
--- a/StandIns/Target/StandInTarget.h
+++ b/StandIns/Target/StandInTarget.h
@@ -54,6 +54,8 @@
     bool failsFast { false };
     // freeze=1: requests run and are never answered.
     bool isFrozen { false };
+    // end=1: the process ends in place of an answer.
+    bool endsProcess { false };
     // answer=whole|chunked|close|truncate
     AnswerMode answer { AnswerMode::Whole };
     // size=<bytes>: padding added to the body.
--- a/tests/Calls/CallCoordinatorTest.cpp
+++ b/tests/Calls/CallCoordinatorTest.cpp
@@ -156,6 +156,58 @@
     EXPECT_FALSE(third[0].request.mayHandOn);
 }
 
+TEST_F(CallCoordinatorTest, ARequestThatEndsTargetsIsRefusedAtOnceAndTruly)
+{
+    auto options = makeOptions();
+    options.suspicion = [](const StartCall&) { return Suspicion::Refused; };
+    m_coordinator = CallCoordinator(options);
+    useTargets(2);
+    for (auto kind : { RequestKind::AtMostOnce, RequestKind::Idempotent }) {
+        m_actions.clear();
+        m_coordinator.startCall(makeCall(1, kind, at(1s)), at(0s), m_actions);
+        EXPECT_TRUE(allOf<SendAttempt>(m_actions).empty());
+        auto answer = onlyAnswer(m_actions);
+        EXPECT_EQ(answer.outcome, RunOutcome::NotRun);
+        EXPECT_EQ(answer.refusal, RefusalReason::EndsTargets);
+        EXPECT_EQ(answer.retryAfter, options.refusedRetryAfter);
+    }
+}
+
+TEST_F(CallCoordinatorTest, ARequestUnderWhichTwoTargetsEndedGetsNoThird)
+{
+    Suspicion suspicion = Suspicion::None;
+    auto options = makeOptions();
+    options.suspicion = [&](const StartCall&) { return suspicion; };
+    m_coordinator = CallCoordinator(options);
+    useTargets(5);
+    warmUp(5ms);
+    auto first = start(makeCall(1, RequestKind::Idempotent, at(5s), 4), at(0s));
+    EXPECT_FALSE(first.request.isSuspect);
+    suspicion = Suspicion::Suspect;
+    auto second = allOf<SendAttempt>(reply(makeLoss(first.request.id, LossReason::TargetClosed), at(10ms)));
+    ASSERT_EQ(second.size(), 1u);
+    EXPECT_TRUE(second[0].request.isSuspect);
+    suspicion = Suspicion::Repeated;
+    auto answer = onlyAnswer(reply(makeLoss(second[0].request.id, LossReason::TargetClosed), at(20ms)));
+    EXPECT_EQ(answer.outcome, RunOutcome::MayHaveRun);
+    EXPECT_EQ(failureOf(answer), CallFailure::ResponseLost);
+}
+
+// It was handed on by the first target when the nodes learned that it ends targets.
+TEST_F(CallCoordinatorTest, ARequestThatTurnsOutToEndTargetsIsNotHandedOn)
+{
+    Suspicion suspicion = Suspicion::Suspect;
+    auto options = makeOptions();
+    options.suspicion = [&](const StartCall&) { return suspicion; };
+    m_coordinator = CallCoordinator(options);
+    useTargets(5);
+    auto first = start(makeCall(1, RequestKind::AtMostOnce, at(5s)), at(0s));
+    suspicion = Suspicion::Refused;
+    auto answer = onlyAnswer(reply(makeRefusal(first.request.id, {}, RefusalReason::BesideSuspect), at(1ms)));
+    EXPECT_EQ(answer.outcome, RunOutcome::NotRun);
+    EXPECT_EQ(answer.refusal, RefusalReason::EndsTargets);
+}
+
 // Guards against a failed call although a target is available that refused only softly: it must get the call when the
 // other target cannot be reached, in either order, and also when it is ejected as slow.
 TEST_F(CallCoordinatorTest, ATargetThatHandedACallOnTakesItWhenTheOtherCannotBeReached)
--- a/tests/Node/AnnouncementOrderTest.cpp
+++ b/tests/Node/AnnouncementOrderTest.cpp
@@ -80,6 +80,20 @@
     EXPECT_EQ(order.classify(makeAnnouncement("i-2", 300, 1), start), AnnouncementFreshness::Current);
 }
 
+TEST(NodeRow, RefusedRequestsAreKeptWithAndWithoutADeparture)
+{
+    NodeRow row { .node = NodeId { 5 }, .gossip = { .address = "10.1.0.4", .port = 7600 } };
+    row.refused.resize(2);
+    row.refused[1].head.fill(0xAB);
+    EXPECT_EQ(decodeNodeRow(encodeNodeRow(row)), row);
+    row.departed = TargetIncarnation { .instance = "i-1", .startedAtMilliseconds = 7 };
+    EXPECT_EQ(decodeNodeRow(encodeNodeRow(row)), row);
+    // A row with a damaged word is still that of a node.
+    auto damaged = decodeNodeRow(encodeNodeRow(row) + " refused=12");
+    ASSERT_TRUE(damaged);
+    EXPECT_EQ(*damaged, row);
+}
+
 TEST(NodeRow, ForeignRowsAreNoNodes)
 {
     NodeRow plain { .node = NodeId { 5 }, .gossip = { .address = "10.1.0.4", .port = 7600 } };
--- a/tests/Node/FleetSimulation.h
+++ b/tests/Node/FleetSimulation.h
@@ -35,6 +35,7 @@
             .region = RegionName("central"),
             .version = 1 };
         process->service = std::make_unique<MembershipService>(MembershipOptions {}, self, m_random.next(), m_now);
+        process->service->shareSuspects(process->suspects);
         process->rows = std::make_unique<NodeRegistrar>(NodeRegistrar::Options { .seed = m_random.next() },
             "vm" + std::to_string(vm),
             NodeRow { .node = process->id, .gossip = endpointOf(vm), .departed = std::nullopt });
@@ -71,6 +72,18 @@
         m_processes.at(vm)->rows->setDeparted(departed, m_now);
         perform(vm, actions);
     }
+    const SuspectTable& suspects(size_t vm) { return m_processes.at(vm)->suspects; }
+    // A target ended while it ran the request for a caller of the VM.
+    void recordEnd(size_t vm, const RequestFingerprint& fingerprint, uint64_t targetEnd)
+    {
+        m_processes.at(vm)->suspects.recordEnd(fingerprint, targetEnd, m_now);
+        tellSuspects(vm);
+    }
+    void recordGoodEnd(size_t vm, const RequestFingerprint& fingerprint)
+    {
+        m_processes.at(vm)->suspects.recordGoodEnd(fingerprint, m_now);
+        tellSuspects(vm);
+    }
     const std::optional<TargetIncarnation>& restoredDeparture(size_t vm)
     {
         return m_processes.at(vm)->restoredDeparture;
@@ -127,6 +140,7 @@
 private:
     struct Process {
         NodeId id;
+        SuspectTable suspects;
         std::unique_ptr<MembershipService> service;
         std::unique_ptr<NodeRegistrar> rows;
         std::optional<TargetIncarnation> restoredDeparture;
@@ -134,6 +148,20 @@
 
     static Endpoint endpointOf(size_t vm) { return { .address = "127.0.0.1", .port = static_cast<uint16_t>(vm + 1) }; }
 
+    void tellSuspects(size_t vm)
+    {
+        MembershipActions actions;
+        service(vm).suspectsChanged(actions);
+        perform(vm, actions);
+    }
+
+    void restoreRefused(size_t vm, Process& process, const RowsRead& rows)
+    {
+        process.suspects.restoreRefused(rows.refused, false, m_now);
+        process.suspects.restoreRefused(rows.ownRefused, true, m_now);
+        tellSuspects(vm);
+    }
+
     void schedule(Duration delay, std::function<void()> action) { m_events.emplace(m_now + delay, std::move(action)); }
 
     Process* processOf(size_t vm, NodeId id)
@@ -144,6 +172,9 @@
 
     void tick(size_t vm, Process& process)
     {
+        auto refused = process.suspects.ownRefused();
+        std::ranges::sort(refused);
+        process.rows->setRefused(std::move(refused), m_now);
         std::vector<RowAction> rowActions;
         process.rows->tick(m_now, rowActions);
         for (auto& it : rowActions)
@@ -182,6 +213,7 @@
             auto read = process.rows->rowsRead(rows, m_storeEra, m_now);
             if (!read)
                 return;
+            restoreRefused(vm, process, *read);
             MembershipActions actions;
             if (read->peers.empty() && process.rows->isPeerListComplete())
                 process.service->joinAsFirst(m_now);
@@ -196,7 +228,8 @@
             std::vector<StoredRow> rows;
             if (auto* row = storedRow(vm))
                 rows.push_back(*row);
-            process.rows->rowsRead(rows, m_storeEra, m_now);
+            if (auto read = process.rows->rowsRead(rows, m_storeEra, m_now))
+                restoreRefused(vm, process, *read);
         });
     }
 
--- a/tests/Peer/GossipSocketTest.cpp
+++ b/tests/Peer/GossipSocketTest.cpp
@@ -85,6 +85,21 @@
     }
 }
 
+TEST(GossipCodec, SuspectsReadBackUnchanged)
+{
+    SuspectRecord record { .ends = { 3, UINT64_MAX }, .lastEndAt = now - 1200ms, .goodEndAt = now - 40ms };
+    record.fingerprint.head.fill(0xAB);
+    record.fingerprint.body.fill(0x01);
+    GossipPing ping { .sequence = 1, .sender = NodeId { 1 }, .content = {} };
+    // As many as one datagram carries.
+    ping.content.suspects.assign(10, record);
+    ping.content.suspects.back() = { .ends = {}, .isRefused = true, .lastEndAt = now };
+    ping.content.suspectDigest = UINT64_MAX;
+    EXPECT_EQ(std::get<GossipPing>(decodeGossip(encodeGossip(ping, now).value(), now).value()), ping);
+    ping.content.suspects[0].ends = { 2, 1 };
+    EXPECT_FALSE(decodeGossip(encodeGossip(ping, now).value(), now));
+}
+
 TEST(GossipCodec, TheAgeOfAConfirmationIsKeptAcrossClocks)
 {
     GossipPing ping { .sequence = 1, .sender = NodeId { 1 }, .content = {} };
--- a/tests/Peer/PeerCodecTest.cpp
+++ b/tests/Peer/PeerCodecTest.cpp
@@ -75,7 +75,7 @@
     EXPECT_TRUE(readChangedReply([](Builder) {}).has_value());
     std::vector<std::function<void(Builder)>> changes {
         [](Builder it) { it.setPending(); },
-        [](Builder it) { it.initRefused().setReason(static_cast<Schema::RefusalReason>(17)); },
+        [](Builder it) { it.initRefused().setReason(static_cast<Schema::RefusalReason>(19)); },
         [](Builder it) { it.initRefused().setRetryAfterMicroseconds(UINT64_MAX); },
         [](Builder it) { it.initLost().setReason(static_cast<Schema::LossReason>(8)); },
         [](Builder it) { it.getAnswered().getHttp().setStatus(99); },
@@ -97,7 +97,7 @@
         write(builder, reply);
         return readCallReply(builder.asReader()).value();
     };
-    for (int i = 0; i <= static_cast<int>(RefusalReason::Overloaded); ++i) {
+    for (int i = 0; i <= static_cast<int>(RefusalReason::EndsTargets); ++i) {
         auto reason = static_cast<RefusalReason>(i);
         CallReply reply = readBack(CallRefused { .id = id, .reason = reason, .retryAfter = {}, .load = {} });
         EXPECT_EQ(std::get<CallRefused>(reply).reason, reason);
@@ -105,7 +105,9 @@
     }
     for (int i = 0; i <= static_cast<int>(LossReason::AnswerDropped); ++i) {
         auto reason = static_cast<LossReason>(i);
-        EXPECT_EQ(std::get<CallLost>(readBack(CallLost { .id = id, .reason = reason, .load = {} })).reason, reason);
+        CallReply reply = readBack(CallLost { .id = id, .reason = reason, .load = {}, .targetEnd = UINT64_MAX });
+        EXPECT_EQ(std::get<CallLost>(reply).reason, reason);
+        EXPECT_EQ(std::get<CallLost>(reply).targetEnd, UINT64_MAX);
     }
 }
 
