Play the load of callers beside a request that ends targets

The simulated service now has a request that ends each target that has run it, three copies a second at 400 calls a second on twelve targets, and look-ups that many callers share.

--- a/tests/HeavyLoad/HeavyLoadTest.cpp
+++ b/tests/HeavyLoad/HeavyLoadTest.cpp
@@ -29,6 +29,9 @@
     std::map<std::string, ClassResult> classes;
     size_t falseAnswers { 0 };
     size_t mostAtLimitedTarget { 0 };
+    // Of one seed.
+    size_t mostTargetEnds { 0 };
+    size_t refusedInnocents { 0 };
 };
 
 Totals simulate(Strategy strategy, WorldOptions options)
@@ -39,6 +42,8 @@
         WorldResult result = World(strategy, options).run();
         totals.utilityShare += result.utilityShare / seeds;
         totals.falseAnswers += result.falseAnswers;
+        totals.mostTargetEnds = std::max(totals.mostTargetEnds, result.targetEnds);
+        totals.refusedInnocents += result.refusedInnocents;
         totals.mostAtLimitedTarget = std::max(totals.mostAtLimitedTarget, result.mostAtLimitedTarget);
         for (auto& [name, it] : result.classes) {
             ClassResult& sum = totals.classes[name];
@@ -148,3 +153,26 @@
 {
     expectBestForCallers({ .rate = 750, .burstRate = 750 });
 }
+
+TEST(HeavyLoad, CallersOfOtherRequestsAreServedBesideOneThatEndsTargets)
+{
+    WorldOptions options { .rate = 400, .burstRate = 400 };
+    Totals calm = simulate(Strategy::Product, options);
+    options.crashingRate = 3;
+    Totals product = simulate(Strategy::Product, options);
+    print("calm", calm);
+    print("product", product);
+    EXPECT_EQ(product.refusedInnocents, 0u);
+    EXPECT_EQ(product.falseAnswers, 0u);
+    // Copies that run at the same time end targets before anybody knows of the third.
+    EXPECT_LE(product.mostTargetEnds, 6u);
+    // Three of twelve targets are away for three of the eight seconds.
+    EXPECT_GE(product.utilityShare, 0.95 * calm.utilityShare);
+    if (!comparesStrategies)
+        return;
+    options.sharesSuspects = false;
+    Totals unaware = simulate(Strategy::Product, options);
+    print("unaware", unaware);
+    EXPECT_GT(product.utilityShare, unaware.utilityShare);
+    EXPECT_GT(unaware.mostTargetEnds, 6u);
+}
--- a/tests/HeavyLoad/LoadWorld.cpp
+++ b/tests/HeavyLoad/LoadWorld.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace Berylport::HeavyLoad {
 
@@ -86,6 +87,7 @@
     , m_options(options)
     , m_random(options.seed)
 {
+    m_suspects.resize(options.senders);
     for (size_t n = 0; n < options.senders; ++n) {
         CallOptions calls { .seed = options.seed + n };
         calls.routing.policy = policyOf(strategy);
@@ -93,11 +95,15 @@
             calls.maximumSoftRefusals = 2;
             calls.maximumRefusals += calls.maximumSoftRefusals;
         }
+        if (options.sharesSuspects)
+            calls.suspicion = [this, n](const StartCall& it) { return m_suspects[n].suspicion({}, it.http); };
         m_senders.push_back(std::make_unique<CallCoordinator>(calls));
     }
     addTargets();
     publishTargets();
     scheduleArrival();
+    if (options.crashingRate > 0)
+        at(m_start + options.burstStart, [this] { scheduleCrashing(); });
     for (size_t n = 0; options.replacementInterval > Duration::zero() && n < options.targets; ++n)
         at(m_start + options.replacementInterval * static_cast<int64_t>(n + 1), [this, n] { replace(n); });
 }
@@ -158,6 +164,8 @@
         // Uniform between 0.5 and 1.5 times the mean.
         caller.work = (0.5 + m_random.unit()) * std::chrono::duration<double>(caller.callClass->work).count();
         CallId id { .origin = NodeId { caller.sender + 1 }, .sequence = ++m_nextCall };
+        // One call in ten looks up the same as others do.
+        caller.path = id.sequence % 10 ? "/" + std::to_string(id.sequence) : "/popular";
         m_callers[id] = caller;
         m_offeredUtility += caller.callClass->utility;
         ++m_result.classes[caller.callClass->name].calls;
@@ -207,15 +215,80 @@
     it.admission->setTargetState(m_now, TargetState::Draining, actions);
     perform(it, std::move(actions));
     publishTargets();
-    at(m_now + replacementTime, [this, &it] {
-        it.isAway = false;
-        advanceWork(it);
-        it.coldUntil = m_now + coldTime;
-        AdmissionActions ready;
-        it.admission->setTargetState(m_now, TargetState::Ready, ready);
-        perform(it, std::move(ready));
-        publishTargets();
-        scheduleCompletion(it);
+    at(m_now + replacementTime, [this, &it] { comeBack(it); });
+}
+
+void World::comeBack(Target& target)
+{
+    target.isAway = false;
+    advanceWork(target);
+    target.coldUntil = m_now + coldTime;
+    AdmissionActions ready;
+    target.admission->setTargetState(m_now, TargetState::Ready, ready);
+    perform(target, std::move(ready));
+    publishTargets();
+    scheduleCompletion(target);
+}
+
+void World::scheduleCrashing()
+{
+    if (m_now - m_start >= m_options.length)
+        return;
+    Caller caller { .callClass = &callClasses()[1], .sender = m_random.below(m_senders.size()), .firstSent = m_now };
+    caller.work = std::chrono::duration<double>(caller.callClass->work).count();
+    caller.path = "/ends-targets";
+    caller.endsTarget = true;
+    CallId id { .origin = NodeId { caller.sender + 1 }, .sequence = ++m_nextCall };
+    m_callers[id] = caller;
+    call(id);
+    at(m_now + Duration(static_cast<int64_t>(m_random.exponential(1e6 / m_options.crashingRate)) + 1),
+        [this] { scheduleCrashing(); });
+}
+
+void World::endTarget(Target& target)
+{
+    ++m_result.targetEnds;
+    ++target.completionVersion;
+    auto runs = std::exchange(target.runs, {});
+    target.isAway = true;
+    AdmissionActions actions;
+    target.admission->setTargetState(m_now, TargetState::Down, actions);
+    for (auto& it : runs)
+        target.admission->targetLost(m_now, it.id, LossReason::TargetClosed, actions, m_result.targetEnds);
+    perform(target, std::move(actions));
+    publishTargets();
+    at(m_now + m_options.recoveryTime, [this, &target] { comeBack(target); });
+}
+
+HttpRequest World::requestOf(const CallId& id) const { return { .method = "POST", .target = m_callers.at(id).path }; }
+
+void World::recordEvidence(const CallReply& reply)
+{
+    if (auto* lost = std::get_if<CallLost>(&reply); lost && lost->targetEnd) {
+        size_t sender = senderOf(lost->id.call);
+        m_suspects[sender].recordEnd(hashRequest({}, requestOf(lost->id.call)), lost->targetEnd, m_now);
+        tellSuspects(sender);
+    }
+    if (auto* answered = std::get_if<CallAnswered>(&reply)) {
+        size_t sender = senderOf(answered->id.call);
+        m_suspects[sender].recordGoodEnd(hashRequest({}, requestOf(answered->id.call)), m_now);
+        tellSuspects(sender);
+    }
+}
+
+void World::tellSuspects(size_t sender)
+{
+    auto changes = m_suspects[sender].takeChanges();
+    if (changes.empty())
+        return;
+    at(m_now + oneWay, [this, sender, changes] {
+        for (size_t n = 0; n < m_suspects.size(); ++n) {
+            for (auto& it : changes) {
+                if (n != sender)
+                    m_suspects[n].merge(it, m_now);
+            }
+            tellSuspects(n);
+        }
     });
 }
 
@@ -235,7 +308,7 @@
         { .id = id,
             .definition = definitionFor(it),
             .tenant = TenantName("a"),
-            .http = { .method = "POST", .target = "/" },
+            .http = requestOf(id),
             .deadline = caller.firstSent + it.deadline,
             .objective = hasObjective ? caller.firstSent + it.objective : Instant::max(),
             .route = hasObjective ? it.name : std::string() },
@@ -260,6 +333,9 @@
 void World::answer(const AnswerCaller& given)
 {
     Caller& caller = m_callers.at(given.id);
+    if (caller.endsTarget)
+        return;
+    m_result.refusedInnocents += given.refusal == RefusalReason::EndsTargets;
     auto* http = std::get_if<HttpResponse>(&given.result);
     bool isServed = http && http->status == 200 && m_now <= caller.firstSent + caller.callClass->deadline;
     if (isServed || given.outcome != RunOutcome::NotRun) {
@@ -381,6 +457,8 @@
             at(m_now + oneWay, [this, &target, message = std::move(reply->reply)] {
                 AttemptId id = std::visit([](auto& it) { return it.id; }, message);
                 if (m_strategy != Strategy::Oracle) {
+                    if (m_options.crashingRate > 0)
+                        recordEvidence(message);
                     CallActions next;
                     m_senders[senderOf(id.call)]->replyArrived(message, m_now, next);
                     perform(std::move(next));
@@ -448,6 +526,11 @@
             finished.push_back(it);
             return true;
         });
+        if (std::ranges::any_of(finished, [this](auto& it) { return m_callers.at(it.id.call).endsTarget; })) {
+            target.runs.insert(target.runs.end(), finished.begin(), finished.end());
+            endTarget(target);
+            return;
+        }
         this->scheduleCompletion(target);
         for (auto& it : finished) {
             AdmissionActions actions;
--- a/tests/HeavyLoad/LoadWorld.h
+++ b/tests/HeavyLoad/LoadWorld.h
@@ -5,6 +5,7 @@
 
 #include "Admission/Admission.h"
 #include "Calls/Calls.h"
+#include "Suspects/Suspects.h"
 
 #include <deque>
 #include <functional>
@@ -51,6 +52,12 @@
     double requestLimit { 0 };
     // Interval between replacements in a rolling replacement of all targets; zero disables it.
     Duration replacementInterval {};
+    // Copies per second, from the start of the burst on, of a request that ends each target that has run it. Targets
+    // are back after this time.
+    double crashingRate { 0 };
+    Duration recoveryTime { std::chrono::seconds(3) };
+    // Whether the senders tell each other under which requests targets ended.
+    bool sharesSuspects { true };
 };
 
 struct CallClass {
@@ -85,6 +92,9 @@
     size_t falseAnswers { 0 };
     // Most requests that a limited target got in four seconds, from three seconds after it first named its limit.
     size_t mostAtLimitedTarget { 0 };
+    size_t targetEnds { 0 };
+    // Calls that were refused because their request was taken for one that ends targets.
+    size_t refusedInnocents { 0 };
 };
 
 class World {
@@ -118,6 +128,9 @@
         Instant firstSent;
         Instant sent;
         double work { 0 };
+        // Calls with the same path are the same request.
+        std::string path;
+        bool endsTarget { false };
         bool hasReturned { false };
         uint32_t runs { 0 };
         bool isAnswered { false };
@@ -133,6 +146,14 @@
     void countStart(Target&);
     void beginSpeedInterval(Target&);
     void replace(size_t target);
+    void scheduleCrashing();
+    // The target's process ends and is back after the recovery time.
+    void endTarget(Target&);
+    void comeBack(Target&);
+    HttpRequest requestOf(const CallId&) const;
+    void recordEvidence(const CallReply&);
+    // Tells the other senders, a little later, what this one has learned.
+    void tellSuspects(size_t sender);
     void call(const CallId&);
     void dispatchByOracle(const CallId&);
     void perform(CallActions);
@@ -154,6 +175,7 @@
     Instant m_now { m_start };
     std::multimap<Instant, Event> m_events;
     std::vector<std::unique_ptr<CallCoordinator>> m_senders;
+    std::vector<SuspectTable> m_suspects;
     std::vector<Target> m_targets;
     std::map<CallId, Caller> m_callers;
     // Targets that refused a call; used by the oracle, which has no coordinator.
