--- a/tests/PlatformAdapter/DialectTest.cpp
+++ b/tests/PlatformAdapter/DialectTest.cpp
@@ -161,6 +161,42 @@
     EXPECT_TRUE(is<UnrelatedMessage>(dialect.readTargetMessage({ .method = "POST", .target = "/announce" })));
 }
 
+// One odd entry of another writer must neither end the process nor name a server.
+TEST(PlatformDialect, DeeplyNestedOrOutOfRangeEntriesAreNoAnnouncements)
+{
+    std::string nested(200'000, '[');
+    std::string closed = nested + std::string(nested.size(), ']');
+    std::string objects;
+    for (int n = 0; n < 100'000; ++n)
+        objects += "{\"a\":";
+    std::vector<std::string> bodies { nested, closed, objects, beatBody(",\"extra\":" + closed),
+        beatBody(R"(,"born":1e999)"), beatBody(R"(,"born":99999999999999999999)"),
+        beatBody(",\"born\":" + std::string(100'000, '9')) };
+    for (auto* address : { "10.1.0.9:70000", "10.1.0.9:0", "10.1.0.9:-1", "10.1.0.9:99999999999999999999",
+             "10.1.0.9:", "10.1.0.9", "10.1.0.9:8080x" }) {
+        bodies.push_back(std::string(R"({"address":")") + address
+            + R"(","info":{"service":"huvo11a","slots":9},"status":{"state":"ready","sequence":4}})");
+    }
+    for (auto* slots : { "1e999", "-1e999", "1e300", "18446744073709551616", "0", "1.5" }) {
+        bodies.push_back(std::string(R"({"address":"10.1.0.9:8080","info":{"service":"huvo11a","slots":)") + slots
+            + R"(},"status":{"state":"ready","sequence":4}})");
+    }
+    for (auto& it : bodies)
+        EXPECT_TRUE(is<AnnouncementError>(dialect.readTargetMessage(makeBeat(it)))) << it.substr(0, 200);
+}
+
+TEST(ConfigurationDocument, DeeplyNestedOrOutOfRangeDocumentsAreRefused)
+{
+    std::string nested(200'000, '[');
+    EXPECT_FALSE(decodeConfiguration(nested));
+    EXPECT_FALSE(decodeConfiguration(configuration(nested + std::string(nested.size(), ']'))));
+    for (auto* seconds : { "1e999", "1e300", "1e13", "-1" }) {
+        EXPECT_FALSE(decodeConfiguration(
+            configuration(std::string(R"(["r-1","h","/a/","idempotent",)") + seconds + R"(,0.5,2,"huvo11a",3,null])")))
+            << seconds;
+    }
+}
+
 TEST(ConfigurationDocument, RoutesSplitsAndLimitsAreRead)
 {
     auto read = decodeConfiguration(configuration(
