--- a/tests/PlatformAdapter/StoreTest.cpp
+++ b/tests/PlatformAdapter/StoreTest.cpp
@@ -97,6 +97,17 @@
     EXPECT_EQ(list().value().rows.size(), 7u);
 }
 
+// Rows of another writer that cannot be read must not hide those behind them.
+TEST_F(StoreTest, ListsThePagesBehindUnreadableRows)
+{
+    m_store.page = 2;
+    m_store.write("nodes", "a", "x");
+    for (int n = 0; n < 5; ++n)
+        m_store.write("nodes", "b" + std::to_string(n), "");
+    m_store.write("nodes", "c", "x");
+    EXPECT_EQ(list().value().rows.size(), 2u);
+}
+
 TEST_F(StoreTest, ReadsOneRowOnly)
 {
     m_store.write("nodes", "a", "one");
