Send two attempts of a request on different connections to a target

Another operator reported clients who were told 'not run' because a server wrote an earlier refusal once more on a kept connection. Here an answer names its request, and another request's is skipped (SkipsARepeatedRefusalOfAnEarlierRequest passes on the code before). Two attempts of one request have the same name, though: a repeated refusal of the first would be taken for the answer to the second, while that runs. An idempotent request may come to the same target twice, when no other is left. A connection remembers the last 256 names that it has carried and takes none of them again. Seen to fail before: SendsTwoAttemptsOfARequestOnDifferentConnections.

AnAnswerThatEndsInItsHeadIsLost cuts an answer at each byte of its head, with and without a length; it passes on the code before.

--- a/Source/Http/TargetClient.cpp
+++ b/Source/Http/TargetClient.cpp
@@ -10,7 +10,9 @@
 #include <deque>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
+#include <functional>
 #include <list>
+#include <string_view>
 #include <sys/socket.h>
 #include <utility>
 
@@ -24,6 +26,9 @@
 // Answers to other requests that are skipped before the connection is given up.
 constexpr uint32_t maxForeignAnswers = 4;
 
+// Tags that a connection remembers, newest first.
+constexpr size_t maxTags = 256;
+
 // What evhttp reads in place of a whole answer.
 constexpr std::string_view placeholder = "HTTP/1.1 204 No Content\r\n\r\n";
 
@@ -83,6 +88,7 @@
     bool isRetired() const { return m_phase == Phase::Retired; }
     // Idle, not for longer than this, and the target has neither closed it nor sent anything.
     bool isUsable(Instant now, Duration maxIdle) const;
+    bool hasCarried(std::string_view tag) const;
     Instant idleSince() const { return m_idleSince; }
     bool isConnected() const { return m_isConnected; }
     bool hasSentBytes() const { return m_hasSentBytes; }
@@ -127,6 +133,8 @@
     bool m_hasSentBytes { false };
     // Requests that this connection has carried, the present one included.
     uint64_t m_requests { 0 };
+    // Hashes of the tags of the requests that it has carried, at most maxTags.
+    std::deque<size_t> m_tags;
     // Answers to other requests that were skipped during this one.
     uint32_t m_foreignAnswers { 0 };
     // The answer under way ends with the connection.
@@ -161,7 +169,7 @@
     TimerPointer wake;
     TimerPointer idleTimer;
 
-    TargetConnection* chooseConnection(bool isIdempotent);
+    TargetConnection* chooseConnection(const SendOptions&);
     void startCall(const std::shared_ptr<TargetCall>&);
     void finish(TargetCall&, SendResult);
     void deliverFinished();
@@ -218,6 +226,10 @@
     m_call = std::move(call);
     m_call->connection = this;
     auto& request = m_call->request;
+    if (!m_call->options.tag.empty()) {
+        m_tags.push_front(std::hash<std::string_view>()(m_call->options.tag));
+        m_tags.resize(std::min(m_tags.size(), maxTags));
+    }
     m_parser.expectAnswerTo(request.method);
     auto* message = evhttp_request_new(handleDone, this);
     addHeaders(message, request);
@@ -227,6 +239,11 @@
         handleFailure();
 }
 
+bool TargetConnection::hasCarried(std::string_view tag) const
+{
+    return !tag.empty() && std::ranges::find(m_tags, std::hash<std::string_view>()(tag)) != m_tags.end();
+}
+
 bool TargetConnection::isUsable(Instant now, Duration maxIdle) const
 {
     if (!isIdle() || now - m_idleSince > maxIdle)
@@ -388,16 +405,17 @@
 }
 
 // Connections are taken in the order of their last use, the freshest first, so that unneeded ones become stale.
-TargetConnection* TargetClient::State::chooseConnection(bool isIdempotent)
+TargetConnection* TargetClient::State::chooseConnection(const SendOptions& request)
 {
     auto now = steadyNow();
-    auto maxIdle = isIdempotent ? options.idleTime : std::min(options.freshTime, options.idleTime);
+    auto maxIdle = request.isIdempotent ? options.idleTime : std::min(options.freshTime, options.idleTime);
     TargetConnection* best = nullptr;
     TargetConnection* oldest = nullptr;
     for (auto& it : connections) {
         if (!it->isIdle())
             continue;
-        if (!best || it->idleSince() > best->idleSince())
+        bool isNewest = !best || it->idleSince() > best->idleSince();
+        if (isNewest && !it->hasCarried(request.tag))
             best = it.get();
         if (!oldest || it->idleSince() < oldest->idleSince())
             oldest = it.get();
@@ -425,7 +443,7 @@
         finish(*call, NotSent { NotSentReason::DeadlinePassed });
         return;
     }
-    auto* connection = chooseConnection(call->options.isIdempotent);
+    auto* connection = chooseConnection(call->options);
     if (!connection) {
         finish(*call, NotSent { NotSentReason::PoolFull });
         return;
--- a/Source/Http/TargetClient.h
+++ b/Source/Http/TargetClient.h
@@ -19,6 +19,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 #include <string_view>
 #include <variant>
 
@@ -95,6 +96,9 @@
     // Whose an answer is; empty accepts any. Another request's answer is skipped and the next one on the connection is
     // taken. One that names no request is lost on a connection that was used before, and ends its connection otherwise.
     std::function<AnswerOwner(const HttpResponse&)> ownerOf {};
+    // What the answer names the request by, if anything. No connection carries two requests with the same one, as a
+    // repeated answer to the first could not be told from the answer to the second.
+    std::string tag {};
 };
 
 struct TargetCall;
--- a/Source/Node/TargetTask.cpp
+++ b/Source/Node/TargetTask.cpp
@@ -565,7 +565,8 @@
         return;
     }
     SendOptions options { .deadline = start.deadline, .isIdempotent = start.kind == RequestKind::Idempotent };
-    options.ownerOf = [this, tag = dialect().answerTag(handover)](const HttpResponse& response) {
+    options.tag = dialect().answerTag(handover);
+    options.ownerOf = [this, tag = options.tag](const HttpResponse& response) {
         auto owner = ownerOf(dialect().readTargetAnswer(response), tag);
         if (owner == AnswerOwner::Other)
             m_context.metrics.add("berylport_foreign_answers_total");
--- a/tests/Http/TargetClientTest.cpp
+++ b/tests/Http/TargetClientTest.cpp
@@ -113,6 +113,70 @@
     EXPECT_EQ(answerOf(0)->body, "ok");
 }
 
+// Guards against an earlier refusal that a target writes once more being taken for the answer to the next attempt.
+TEST_F(TargetClientTest, SkipsARepeatedRefusalOfAnEarlierRequest)
+{
+    start();
+    SendOptions options { .deadline = steadyNow() + longTime, .isIdempotent = true, .ownerOf = ownerById };
+    options.tag = "other";
+    options.ownerOf = [](const HttpResponse&) { return AnswerOwner::Own; };
+    constexpr std::string_view refusal
+        = "HTTP/1.1 503 Full\r\nX-Id: other\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    send(request("GET", "/a"), options);
+    ASSERT_TRUE(accept());
+    ASSERT_TRUE(waitForBytes(m_accepted[0], "/a"));
+    m_accepted[0].send(refusal);
+    ASSERT_TRUE(waitForResult(0));
+    options.tag = "mine";
+    options.ownerOf = ownerById;
+    send(request("GET", "/b"), options);
+    ASSERT_TRUE(waitForBytes(m_accepted[0], "/b"));
+    m_accepted[0].send(std::string(refusal) + "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 2\r\n\r\nok");
+    ASSERT_TRUE(waitForResult(1));
+    ASSERT_TRUE(answerOf(1));
+    EXPECT_EQ(answerOf(1)->status, 200);
+}
+
+// A repeated refusal of the first attempt names the second one too.
+TEST_F(TargetClientTest, SendsTwoAttemptsOfARequestOnDifferentConnections)
+{
+    start();
+    SendOptions options {
+        .deadline = steadyNow() + longTime, .isIdempotent = true, .ownerOf = ownerById, .tag = "mine"
+    };
+    for (size_t n = 0; n < 2; ++n) {
+        send(request("GET", "/a"), options);
+        ASSERT_TRUE(accept());
+        ASSERT_TRUE(waitForBytes(m_accepted[n], "/a"));
+        m_accepted[n].send("HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 2\r\n\r\nok");
+        ASSERT_TRUE(waitForResult(n));
+    }
+    options.tag = "third";
+    send(request("GET", "/b"), options);
+    EXPECT_TRUE(
+        runUntil([&] { return contains(m_accepted[0].received(), "/b") || contains(m_accepted[1].received(), "/b"); }));
+}
+
+// Guards against an answer whose head was cut off being passed on as whole.
+TEST_F(TargetClientTest, AnAnswerThatEndsInItsHeadIsLost)
+{
+    constexpr std::string_view head = "HTTP/1.1 200 OK\r\nX-Server-Seal: 1\r\nContent-Length: 2\r\n\r\n";
+    for (bool allowsCloseDelimited : { false, true }) {
+        for (size_t n = 0; n < head.size(); ++n) {
+            start({ .limits
+                = { .headBytes = 16 * 1024, .bodyBytes = 1024, .allowsCloseDelimited = allowsCloseDelimited } });
+            auto result = exchange(head.substr(0, n), true);
+            EXPECT_TRUE(std::holds_alternative<Lost>(result)) << n;
+        }
+    }
+    // Without a length, the head alone must not be taken for an answer either, as long as it is not complete.
+    constexpr std::string_view open = "HTTP/1.1 200 OK\r\nX-Server-Seal: 1\r\n";
+    for (size_t n = 0; n <= open.size(); ++n) {
+        start({ .limits = { .headBytes = 16 * 1024, .bodyBytes = 1024, .allowsCloseDelimited = true } });
+        EXPECT_TRUE(std::holds_alternative<Lost>(exchange(open.substr(0, n), true))) << n;
+    }
+}
+
 // Guards against a late second copy that does not say whose it is: the next caller on the connection must not get it.
 TEST_F(TargetClientTest, TakesNoUnnamedAnswerOnAConnectionThatWasUsedBefore)
 {
