--- a/StandIns/Target/StandInTarget.cpp
+++ b/StandIns/Target/StandInTarget.cpp
@@ -7,11 +7,11 @@
 #include <array>
 #include <charconv>
 #include <cstdio>
-#include <cstdlib>
 #include <deque>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <iostream>
 #include <map>
 #include <netinet/in.h>
 #include <set>
@@ -24,6 +24,8 @@
 namespace {
 
 constexpr size_t maxBody = 8 * 1024 * 1024;
+// Another process may hold the port for a moment.
+constexpr Duration returnRetryTime = std::chrono::milliseconds(100);
 constexpr int idleTimeoutSeconds = 600;
 constexpr Duration announceTimeout = std::chrono::seconds(1);
 // When the request names no deadline.
@@ -133,7 +135,7 @@
     behaviour.status = number("status", behaviour.status);
     behaviour.failsFast = flag("fail", behaviour.failsFast);
     behaviour.isFrozen = flag("freeze", behaviour.isFrozen);
-    behaviour.endsProcess = flag("end", behaviour.endsProcess);
+    behaviour.awayTime = std::chrono::milliseconds(number("end", toMilliseconds(behaviour.awayTime)));
     behaviour.answer = parseAnswerMode(text("answer", "")).value_or(behaviour.answer);
     behaviour.padding = number("size", behaviour.padding);
     auto health = text("health", "");
@@ -226,6 +228,7 @@
     TimerPointer announceTimer;
     TimerPointer startTimer;
     TimerPointer drainTimer;
+    TimerPointer returnTimer;
     std::unique_ptr<TargetClient> node;
     bool isStarting { false };
     bool isDraining { false };
@@ -253,6 +256,11 @@
     void sendExecutions(evhttp_request*);
     void announce();
     void checkDrained();
+    void createServer();
+    // Empty when the address cannot be bound.
+    std::optional<Endpoint> listen(const Endpoint&);
+    void goAway(Duration);
+    void comeBack();
     std::string_view stateText() const { return isDraining ? "draining" : isStarting ? "starting" : "ready"; }
 };
 
@@ -368,9 +376,9 @@
         base,
         [](evutil_socket_t, short, void* argument) {
             auto& ready = *static_cast<Work*>(argument);
-            if (ready.behaviour.endsProcess)
-                std::_Exit(EXIT_FAILURE);
-            if (ready.behaviour.nestedPort && !ready.behaviour.failsFast)
+            if (ready.behaviour.awayTime > Duration::zero())
+                ready.target->goAway(ready.behaviour.awayTime);
+            else if (ready.behaviour.nestedPort && !ready.behaviour.failsFast)
                 ready.target->callNested(ready);
             else
                 ready.target->finish(ready);
@@ -502,6 +510,52 @@
     std::exchange(onDrained, nullptr)();
 }
 
+void StandInTarget::State::createServer()
+{
+    http.reset(evhttp_new(base));
+    evhttp_set_timeout(http.get(), idleTimeoutSeconds);
+    evhttp_set_max_body_size(http.get(), maxBody);
+    evhttp_set_default_content_type(http.get(), nullptr);
+    evhttp_set_allowed_methods(http.get(),
+        EVHTTP_REQ_GET | EVHTTP_REQ_HEAD | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS
+            | EVHTTP_REQ_PATCH);
+    evhttp_set_gencb(
+        http.get(), [](evhttp_request* request, void* it) { static_cast<State*>(it)->handle(request); }, this);
+}
+
+std::optional<Endpoint> StandInTarget::State::listen(const Endpoint& wanted)
+{
+    auto* bound = evhttp_bind_socket_with_handle(http.get(), wanted.address.c_str(), wanted.port);
+    if (!bound)
+        return std::nullopt;
+    sockaddr_in local {};
+    socklen_t length = sizeof(local);
+    getsockname(evhttp_bound_socket_get_fd(bound), reinterpret_cast<sockaddr*>(&local), &length);
+    return Endpoint { .address = wanted.address, .port = ntohs(local.sin_port) };
+}
+
+void StandInTarget::State::goAway(Duration duration)
+{
+    evtimer_del(announceTimer.get());
+    http.reset();
+    queued.clear();
+    running.clear();
+    keyed.clear();
+    Berylport::startTimer(returnTimer.get(), duration);
+}
+
+void StandInTarget::State::comeBack()
+{
+    createServer();
+    if (!listen(endpoint)) {
+        std::cerr << "cannot listen on " << toText(endpoint) << " again\n";
+        Berylport::startTimer(returnTimer.get(), returnRetryTime);
+        return;
+    }
+    if (node)
+        announce();
+}
+
 StandInTarget::StandInTarget(event_base* base, StandInTargetOptions options)
     : m_state(std::make_unique<State>())
 {
@@ -509,18 +563,11 @@
     state.base = base;
     state.options = std::move(options);
     state.behaviour = state.options.behaviour;
-    state.http.reset(evhttp_new(base));
-    auto* http = state.http.get();
-    evhttp_set_timeout(http, idleTimeoutSeconds);
-    evhttp_set_max_body_size(http, maxBody);
-    evhttp_set_default_content_type(http, nullptr);
-    evhttp_set_allowed_methods(http,
-        EVHTTP_REQ_GET | EVHTTP_REQ_HEAD | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS
-            | EVHTTP_REQ_PATCH);
-    evhttp_set_gencb(
-        http, [](evhttp_request* request, void* it) { static_cast<State*>(it)->handle(request); }, &state);
+    state.createServer();
     state.drainTimer.reset(evtimer_new(
         base, [](evutil_socket_t, short, void* it) { static_cast<State*>(it)->checkDrained(); }, &state));
+    state.returnTimer.reset(evtimer_new(
+        base, [](evutil_socket_t, short, void* it) { static_cast<State*>(it)->comeBack(); }, &state));
     state.announceTimer.reset(evtimer_new(
         base, [](evutil_socket_t, short, void* it) { static_cast<State*>(it)->announce(); }, &state));
     state.startTimer.reset(evtimer_new(
@@ -539,14 +586,10 @@
 std::optional<Endpoint> StandInTarget::listen()
 {
     auto& state = *m_state;
-    auto& wanted = state.options.listen;
-    auto* bound = evhttp_bind_socket_with_handle(state.http.get(), wanted.address.c_str(), wanted.port);
-    if (!bound)
+    auto endpoint = state.listen(state.options.listen);
+    if (!endpoint)
         return std::nullopt;
-    sockaddr_in local {};
-    socklen_t length = sizeof(local);
-    getsockname(evhttp_bound_socket_get_fd(bound), reinterpret_cast<sockaddr*>(&local), &length);
-    state.endpoint = { .address = wanted.address, .port = ntohs(local.sin_port) };
+    state.endpoint = *endpoint;
     state.isStarting = state.options.startDelay.count() > 0;
     if (state.isStarting)
         startTimer(state.startTimer.get(), state.options.startDelay);
--- a/StandIns/Target/StandInTarget.h
+++ b/StandIns/Target/StandInTarget.h
@@ -54,8 +54,9 @@
     bool failsFast { false };
     // freeze=1: requests run and are never answered.
     bool isFrozen { false };
-    // end=1: the process ends in place of an answer.
-    bool endsProcess { false };
+    // end=<ms>: in place of an answer all connections are closed, and new ones refused for this long, as if the process
+    // had ended and started again.
+    Duration awayTime {};
     // answer=whole|chunked|close|truncate
     AnswerMode answer { AnswerMode::Whole };
     // size=<bytes>: padding added to the body.
--- a/tests/Process/harness.py
+++ b/tests/Process/harness.py
@@ -19,6 +19,8 @@
 
 LOG_LINES = 25
 POLL_S = 0.05
+# Targets that requests end are away for less.
+TARGET_AWAY_S = 3
 # Below the 120 s of ctest, so that the failing step and the logs are still printed.
 SCENARIO_LIMIT_S = 100
 PR_SET_PDEATHSIG = 1
@@ -417,4 +419,12 @@
         fetch(self.processes[store].ports["control"], "/control", json.dumps(faults).encode())
 
     def step_behaviour(self, step, target, *parameters):
-        fetch(self.processes[target].ports["target"], "/behaviour?" + "&".join(parameters), b"")
+        limit = time.monotonic() + TARGET_AWAY_S
+        while True:
+            try:
+                fetch(self.processes[target].ports["target"], "/behaviour?" + "&".join(parameters), b"")
+                return
+            except (urllib.error.URLError, ConnectionError):
+                if time.monotonic() > limit:
+                    raise
+                time.sleep(POLL_S)
