Count the end of one target process once

The connections of a process that ends may close in two batches, when the check of the first one is over before the last connection is known to be closed; each batch was taken for an end of its own, so copies of a request on one target could count as two ends. The number of an end belongs to the process now, until the next announcement. Found by reading.

CallCoordinator, Node and Http tests pass.

--- a/Source/Node/LocalTarget.h
+++ b/Source/Node/LocalTarget.h
@@ -81,6 +81,8 @@
     std::unordered_map<AttemptId, RunningRequest> running;
     // Calls whose connection the target has closed, while it is checked whether its process has ended.
     std::vector<AttemptId> closedCalls;
+    // Number of the end of its process; zero while it runs, as far as is known.
+    uint64_t end { 0 };
     // Whether its latest answer named a request limit that cannot be read.
     bool isLimitMalformed { false };
     // Number that admission assigned to the last process pause.
--- a/Source/Node/TargetTask.cpp
+++ b/Source/Node/TargetTask.cpp
@@ -458,14 +458,14 @@
         || target.announcement->instance != announcement.instance
         || target.announcement->startedAtMilliseconds != announcement.startedAtMilliseconds;
     bool hasOtherSlots = !target.announcement || target.announcement->slots != announcement.slots;
+    // The check is over, as its answer will not come.
+    if (isOtherProcess && !target.closedCalls.empty())
+        endChecked(target, true);
+    target.end = 0;
     target.announcement = announcement;
     target.announcedAt = now;
     target.isRefusing = false;
     if (isOtherProcess) {
-        // The check is over, as its answer will not come.
-        if (!target.closedCalls.empty())
-            endChecked(target, true);
-        target.isRefusing = false;
         failRunning(target, LossReason::TargetClosed);
         target.connect(announcement.endpoint, dialect().allowsCloseDelimitedAnswers());
         target.admission.resetRequestLimit();
@@ -662,21 +662,27 @@
 void TargetTask::endChecked(LocalTarget& target, bool hasEnded)
 {
     auto calls = std::exchange(target.closedCalls, {});
-    uint64_t end = 0;
-    if (hasEnded) {
+    if (hasEnded)
+        recordEnd(target, calls.size());
+    for (auto& id : calls)
+        targetFinished(target, id, Lost { .reason = LossReason::TargetClosed }, hasEnded ? target.end : 0);
+}
+
+void TargetTask::recordEnd(LocalTarget& target, size_t calls)
+{
+    // The connections of one process may close one after the other.
+    if (!target.end) {
         // Differs from the numbers of other processes with near certainty, as node ids are random.
-        end = m_context.self.value + ++m_targetEnds;
-        logEvent(Event::TargetEnded,
-            { { "service", target.service.text },
-                { "instance", target.announcement ? target.announcement->instance : std::string() },
-                { "calls", std::to_string(calls.size()) }, { "end", std::to_string(end) } });
+        target.end = m_context.self.value + ++m_targetEnds;
         m_context.metrics.add(
             { .name = "berylport_target_ends_total", .labelName = "service", .labelValue = target.service.text });
-        if (!std::exchange(target.isRefusing, true))
-            stateChanged(target);
     }
-    for (auto& id : calls)
-        targetFinished(target, id, Lost { .reason = LossReason::TargetClosed }, end);
+    logEvent(Event::TargetEnded,
+        { { "service", target.service.text },
+            { "instance", target.announcement ? target.announcement->instance : std::string() },
+            { "calls", std::to_string(calls) }, { "end", std::to_string(target.end) } });
+    if (!std::exchange(target.isRefusing, true))
+        stateChanged(target);
 }
 
 void TargetTask::targetFinished(LocalTarget& target, const AttemptId& id, SendResult result, uint64_t targetEnd)
--- a/Source/Node/TargetTask.h
+++ b/Source/Node/TargetTask.h
@@ -67,6 +67,7 @@
     // Whether the target has ended is known when a new connection is refused or answered.
     void checkForEnd(LocalTarget&, uint32_t attempt);
     void endChecked(LocalTarget&, bool hasEnded);
+    void recordEnd(LocalTarget&, size_t calls);
     void failRunning(LocalTarget&, LossReason);
     static void logTargetAnswer(const LocalTarget&, const AttemptId&, const SendResult&);
     void applyDefinition(LocalTarget&, const ServiceDefinition&);
--- a/tests/Http/TargetClientTest.cpp
+++ b/tests/Http/TargetClientTest.cpp
@@ -160,7 +160,7 @@
 // Guards against an answer whose head was cut off being passed on as whole.
 TEST_F(TargetClientTest, AnAnswerThatEndsInItsHeadIsLost)
 {
-    constexpr std::string_view head = "HTTP/1.1 200 OK\r\nX-Server-Seal: 1\r\nContent-Length: 2\r\n\r\n";
+    constexpr std::string_view head = "HTTP/1.1 200 OK\r\nX-Seal: 1\r\nContent-Length: 2\r\n\r\n";
     for (bool allowsCloseDelimited : { false, true }) {
         for (size_t n = 0; n < head.size(); ++n) {
             start({ .limits
@@ -170,7 +170,7 @@
         }
     }
     // Without a length, the head alone must not be taken for an answer either, as long as it is not complete.
-    constexpr std::string_view open = "HTTP/1.1 200 OK\r\nX-Server-Seal: 1\r\n";
+    constexpr std::string_view open = "HTTP/1.1 200 OK\r\nX-Seal: 1\r\n";
     for (size_t n = 0; n <= open.size(); ++n) {
         start({ .limits = { .headBytes = 16 * 1024, .bodyBytes = 1024, .allowsCloseDelimited = true } });
         EXPECT_TRUE(std::holds_alternative<Lost>(exchange(open.substr(0, n), true))) << n;
