Bound what nodes tell each other of suspects

With more suspects than a table holds, each node that merged a record forgot another one, told all members of the change, and got back what it had forgotten: the simulated fleet of twelve did not finish 20 s within a minute. Only what a node has learned by itself is told to all; in fleets above 64 news of the last 3 s is told on; the rest is left to the exchange by digests, whose interval doubles up to a second while nothing changes. A full table replaces a record only by one that is a second newer, and never a refused one by another.

Seen to fail before: FleetSuspects.TrafficStaysBoundedWithMoreSuspectsThanANodeRemembers (600 suspects; at most four datagrams a second and node besides the probes).

--- a/Source/Membership/MembershipService.cpp
+++ b/Source/Membership/MembershipService.cpp
@@ -180,28 +180,41 @@
 {
     if (!m_suspects)
         return;
-    for (auto& it : content.suspects)
-        m_suspects->merge(it, now);
+    // In a small fleet the member that has learned something tells all others itself.
+    bool isToldOn = m_table.presentCount() > m_options.confirmationGroup;
+    std::vector<SuspectRecord> fresh;
+    for (auto& it : content.suspects) {
+        Instant newest = std::max(it.lastEndAt, it.goodEndAt.value_or(Instant()));
+        if (m_suspects->merge(it, now) && isToldOn && now - newest < m_options.suspectNewsTime)
+            fresh.push_back(it);
+    }
+    tellSuspects(fresh, actions);
     suspectsChanged(actions);
     // Messages with suspects hold a part of what the sender knows, and what it knew before this node's answer.
     if (!content.suspects.empty() || content.suspectDigest == m_suspects->digest() || now < m_nextSuspectExchange)
         return;
-    m_nextSuspectExchange = now + m_options.suspectInterval;
+    bool hasChanged = std::exchange(m_exchangedRevision, m_suspects->revision()) != m_suspects->revision();
+    m_suspectInterval
+        = hasChanged ? m_options.suspectInterval : std::min(2 * m_suspectInterval, m_options.maximumSuspectInterval);
+    m_nextSuspectExchange = now + m_suspectInterval;
     sendSuspects(m_suspects->records(), from, actions);
 }
 
 void MembershipService::suspectsChanged(MembershipActions& actions)
 {
-    if (!m_suspects)
-        return;
-    auto changes = m_suspects->takeChanges();
-    if (changes.empty())
+    if (m_suspects)
+        tellSuspects(m_suspects->takeChanges(), actions);
+}
+
+void MembershipService::tellSuspects(const std::vector<SuspectRecord>& records, MembershipActions& actions)
+{
+    if (records.empty())
         return;
     auto members = m_table.presentNodes();
     if (members.size() > m_options.confirmationGroup)
         members = sample(std::move(members), m_options.suspectFanout);
     for (NodeId it : members)
-        sendSuspects(changes, m_table.find(it)->record.gossip, actions);
+        sendSuspects(records, m_table.find(it)->record.gossip, actions);
 }
 
 void MembershipService::sendSuspects(std::vector<SuspectRecord> records, const Endpoint& to, MembershipActions& actions)
--- a/Source/Membership/MembershipService.h
+++ b/Source/Membership/MembershipService.h
@@ -109,9 +109,13 @@
     // Members told at once of requests under which targets ended; all members of a fleet of at most
     // `confirmationGroup`. Members to whom this is new tell it on.
     size_t suspectFanout { 4 };
+    // What is older has reached all members but a few, which learn it when digests are compared.
+    Duration suspectNewsTime { std::chrono::seconds(3) };
     // At most this many datagrams with suspects go to a member that knows other ones, in each interval to one member.
+    // The interval doubles while that changes nothing here, as members that know too many forget different ones.
     size_t maximumSuspectDatagrams { 4 };
     Duration suspectInterval { std::chrono::milliseconds(200) };
+    Duration maximumSuspectInterval { std::chrono::seconds(1) };
     // Members notified immediately that this node leaves.
     size_t leaveFanout { 8 };
 };
@@ -172,6 +176,7 @@
 private:
     bool isInOwnGroup(NodeId) const;
     void receiveSuspects(const GossipContent&, const Endpoint& from, Instant now, MembershipActions&);
+    void tellSuspects(const std::vector<SuspectRecord>&, MembershipActions&);
     void sendSuspects(std::vector<SuspectRecord>, const Endpoint& to, MembershipActions&);
     void checkDeadSender(NodeId);
     void receiveContent(NodeId sender, const GossipContent&, Instant now, MembershipActions&);
@@ -247,6 +252,9 @@
     std::optional<SourceConfirmation> m_confirmation;
     SuspectTable* m_suspects { nullptr };
     Instant m_nextSuspectExchange;
+    Duration m_suspectInterval {};
+    // Revision of the table at the last exchange.
+    uint64_t m_exchangedRevision { 0 };
     // Highest version of this node's record that others have declared dead.
     uint64_t m_lastDeclaredDeadVersion { 0 };
     // Ping requests awaiting the probed member's ack, by the sequence number of the relayed ping.
--- a/Source/Suspects/SuspectTable.cpp
+++ b/Source/Suspects/SuspectTable.cpp
@@ -74,7 +74,6 @@
         return;
     m_digest ^= digestOf(before) ^ digestOf(entry.record);
     ++m_revision;
-    m_changes.insert(entry.record.fingerprint);
 }
 
 void SuspectTable::recordEnd(const RequestFingerprint& fingerprint, uint64_t targetEnd, Instant now)
@@ -84,12 +83,13 @@
         .ends = { targetEnd },
         .lastEndAt = now,
         .goodEndAt = good == m_goodEnds.end() ? std::nullopt : std::optional(good->second) };
-    merge(record, now);
+    bool hasChanged = merge(record, now);
     auto it = m_records.find(fingerprint);
-    if (it == m_records.end() || it->second.isOwn)
+    if (it == m_records.end())
         return;
-    it->second.isOwn = true;
-    ++m_revision;
+    if (hasChanged)
+        m_changes.insert(fingerprint);
+    m_revision += !std::exchange(it->second.isOwn, true);
 }
 
 void SuspectTable::recordGoodEnd(const RequestFingerprint& fingerprint, Instant now)
@@ -107,6 +107,7 @@
     SuspectRecord before = it->second.record;
     it->second.record.goodEndAt = now;
     changed(it->second, before);
+    m_changes.insert(fingerprint);
 }
 
 void SuspectTable::recordRefusal(const RequestFingerprint& fingerprint, Instant now)
@@ -123,7 +124,8 @@
         return false;
     auto found = m_records.find(offered.fingerprint);
     if (found == m_records.end()) {
-        evictIfFull();
+        if (!makeRoomFor(offered))
+            return false;
         found
             = m_records.emplace(offered.fingerprint, Entry { .record = { .fingerprint = offered.fingerprint } }).first;
     }
@@ -131,7 +133,6 @@
     SuspectRecord before = entry.record;
     SuspectRecord& record = entry.record;
     uint64_t revision = m_revision;
-    bool hadGoodEnd = record.goodEndAt.has_value();
     auto good = m_goodEnds.find(offered.fingerprint);
     for (auto& it : { offered.goodEndAt, good == m_goodEnds.end() ? std::nullopt : std::optional(good->second) }) {
         if (it)
@@ -147,7 +148,7 @@
     changed(entry, before);
     if (record.ends.empty() && !record.isRefused && !record.goodEndAt)
         remove(offered.fingerprint);
-    else if (hadGoodEnd && !offered.goodEndAt && isCleared(record))
+    else if (!offered.goodEndAt && isCleared(record))
         // The other node has not heard that the request ended well.
         m_changes.insert(offered.fingerprint);
     return m_revision != revision;
@@ -162,14 +163,20 @@
     ++m_revision;
 }
 
-void SuspectTable::evictIfFull()
+bool SuspectTable::makeRoomFor(const SuspectRecord& offered)
 {
     if (m_records.size() < m_options.maximumRecords)
-        return;
+        return true;
     // Refused requests are kept longest.
     auto oldest = std::ranges::min_element(
         m_records, {}, [](auto& it) { return std::pair(it.second.record.isRefused, it.second.record.lastEndAt); });
-    remove(RequestFingerprint(oldest->first));
+    const SuspectRecord& record = oldest->second.record;
+    bool isPreferred = offered.isRefused != record.isRefused
+        ? offered.isRefused
+        : offered.lastEndAt > record.lastEndAt + m_options.evictionMargin;
+    if (isPreferred)
+        remove(RequestFingerprint(oldest->first));
+    return isPreferred;
 }
 
 void SuspectTable::expire(Instant now)
--- a/Source/Suspects/SuspectTable.h
+++ b/Source/Suspects/SuspectTable.h
@@ -35,6 +35,9 @@
         // How long nodes remember that a suspect turned out to end well, for those that have not heard of it.
         Duration clearedLifetime { std::chrono::seconds(30) };
         size_t maximumRecords { 256 };
+        // In a full table a record is only replaced by one that is newer by this. Otherwise nodes that have forgotten
+        // different ones would replace them by each other's without end.
+        Duration evictionMargin { std::chrono::seconds(1) };
         // Requests that ended well here and are remembered, suspected or not.
         size_t maximumGoodEnds { 1024 };
     };
@@ -67,7 +70,7 @@
     // Equal if two nodes suspect and refuse the same requests for the same ends.
     uint64_t digest() const { return m_digest; }
     std::vector<SuspectRecord> records() const;
-    // Records that have changed since the last call, to be told to the other nodes.
+    // Records of which this node has learned something by itself since the last call, to be told to the other nodes.
     std::vector<SuspectRecord> takeChanges();
 
     // --- requests to be refused, for storage
@@ -89,7 +92,8 @@
     void changed(Entry&, const SuspectRecord& before);
     void normalize(SuspectRecord&) const;
     void remove(const RequestFingerprint&);
-    void evictIfFull();
+    // Forgets the oldest record in a full table. Returns false if the offered one is not much newer.
+    bool makeRoomFor(const SuspectRecord& offered);
     static uint64_t digestOf(const SuspectRecord&);
 
     Options m_options;
--- a/tests/Node/FleetSuspectTest.cpp
+++ b/tests/Node/FleetSuspectTest.cpp
@@ -134,3 +134,28 @@
         EXPECT_EQ(countRefusing(fleet, vms), 0u) << seed;
     }
 }
+
+TEST(FleetSuspects, TrafficStaysBoundedWithMoreSuspectsThanANodeRemembers)
+{
+    constexpr size_t vms = 12;
+    FleetSimulation fleet(1);
+    startAll(fleet, vms);
+    fleet.run(10s);
+    uint64_t calm = fleet.datagrams;
+    fleet.run(20s);
+    calm = fleet.datagrams - calm;
+    for (uint64_t n = 0; n < 600; ++n) {
+        RequestFingerprint fingerprint;
+        for (auto& it : fingerprint.head)
+            it = static_cast<uint8_t>(fleet.random().next());
+        fleet.recordEnd(fleet.random().below(vms), fingerprint, n);
+        fleet.run(5ms);
+    }
+    endThreeTargets(fleet, vms);
+    fleet.run(contactBound);
+    EXPECT_EQ(countRefusing(fleet, vms), vms);
+    uint64_t before = fleet.datagrams;
+    fleet.run(20s);
+    // At most four datagrams a second and node, besides the probes.
+    EXPECT_LE(fleet.datagrams - before, calm + vms * 20 * 4);
+}
