Satisfy the linter in the replication of suspects

clang-tidy 14 rejects std::ranges::rotate of this library and the literal zero in a defaulted comparison; no behaviour is changed.

--- a/Source/Base/SuspectRecord.h
+++ b/Source/Base/SuspectRecord.h
@@ -22,7 +22,8 @@
     // Of everything but the body, and of the length of the body. Cheap, so it is compared first.
     Part head {};
     Part body {};
-    auto operator<=>(const RequestFingerprint&) const = default;
+    // clang-tidy 14 takes the literal zero inside a defaulted operator<=> for a null pointer.
+    auto operator<=>(const RequestFingerprint&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 enum class Suspicion : uint8_t {
--- a/Source/Membership/MembershipService.cpp
+++ b/Source/Membership/MembershipService.cpp
@@ -221,7 +221,8 @@
 {
     // The limit on datagrams truncates the list, so each exchange starts at a random record.
     if (!records.empty())
-        std::ranges::rotate(records, records.begin() + static_cast<ptrdiff_t>(m_random.below(records.size())));
+        std::rotate(
+            records.begin(), records.begin() + static_cast<ptrdiff_t>(m_random.below(records.size())), records.end());
     size_t datagrams = 0;
     for (size_t first = 0; first < records.size() && datagrams++ < m_options.maximumSuspectDatagrams;
          first += suspectsPerDatagram) {
