Keep what a delayed answer refers to in the simulated fleet of followers

The sanitizer build ended ConfigurationTests: an answer that waits for the end of a node's pause referred to the event that had brought it, which was gone by then. It holds copies now. The checks are unchanged; ConfigurationTests pass in the sanitizer build (42 cases).

--- a/tests/Configuration/FollowerFleet.h
+++ b/tests/Configuration/FollowerFleet.h
@@ -186,7 +186,7 @@
         if (access == SourceAccess::Silent)
             return;
         schedule(sourceDelay / 2, [this, n, id, number, access, version = m_version] {
-            deliver(n, id, [&](SourceFollower& follower, auto& actions) {
+            deliver(n, id, [this, number, access, version](SourceFollower& follower, auto& actions) {
                 if (access == SourceAccess::Refused) {
                     follower.sourceFailed(number, m_now);
                     return;
