Give the fleet tests of suspects an executable of their own

Node tests take most of their time limit of 300 s in the sanitizer build on this machine beside load; the simulated fleets of suspects come on top. They are a test of their own now; checks and sizes are unchanged.

--- a/tests/Node/FleetSuspectTest.cpp
+++ b/tests/FleetSuspects/FleetSuspectTest.cpp
@@ -1,5 +1,5 @@
 // Guards against nodes that send a request on to targets after it has ended three.
-#include "FleetSimulation.h"
+#include "Node/FleetSimulation.h"
 
 #include <gtest/gtest.h>
 
