--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -9,6 +9,7 @@
 import itertools
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -47,20 +48,18 @@
 
 
 def free_ports(count):
-    """Ports that are free for TCP and UDP."""
+    """Ports that are free for TCP and UDP, below those that outgoing connections take."""
     ports, kept = [], []
     while len(ports) < count:
+        port = random.randint(15000, 32000)
         stream = socket.socket()
-        stream.bind((LOOPBACK, 0))
-        port = stream.getsockname()[1]
         datagram = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        kept += [stream, datagram]
         try:
+            stream.bind((LOOPBACK, port))
             datagram.bind((LOOPBACK, port))
         except OSError:
-            datagram.close()
-            kept.append(stream)
             continue
-        kept += [stream, datagram]
         ports.append(port)
     for it in kept:
         it.close()
