--- a/review/entries/two_systems.py
+++ b/review/entries/two_systems.py
@@ -68,4 +68,4 @@
             await second.close()
 
 
-play(script, FOLDER)
+play(script, FOLDER, broken_code=1)
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -553,7 +553,13 @@
         self.folder.cleanup()
 
 
-def play(script, folder, limit_s=110):
+# Differs from the code of an uncaught exception.
+BROKEN_CODE = 10
+HELD_CODE = 0
+CANNOT_RUN_CODE = 2
+
+
+def play(script, folder, limit_s=110, broken_code=BROKEN_CODE):
     """Runs the case: script(fleet, has_trouble) returns a list of what broke the rule."""
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
 
@@ -568,10 +574,10 @@
             for it in broken:
                 fleet.record.both("BROKEN: " + it)
             fleet.record.both("the rule was broken" if broken else "the rule held")
-            return 1 if broken else 0
-        except (CannotRun, asyncio.TimeoutError, OSError) as error:
+            return broken_code if broken else HELD_CODE
+        except Exception as error:  # Whatever goes wrong in a stand-in is no result.
             fleet.record.both(f"the case could not run: {type(error).__name__} {error}")
-            return 2
+            return CANNOT_RUN_CODE
         finally:
             if os.environ.get("KEEP_LOGS"):
                 os.system(f"cp -r {fleet.folder.name} {os.environ['KEEP_LOGS']}")
