--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -304,6 +304,7 @@
 
     async def beat(self):
         status = await self.call_control("heartbeat", self.heartbeat())
+        self.fleet.record.say(f"a heartbeat of {self.instance} of {self.service} is answered {status}")
         if self.state == "draining" and status == 200 and not self.acknowledged_leaving_at:
             self.acknowledged_leaving_at = time.monotonic()
             self.fleet.record.say(f"server {self.instance} is told that it may leave")
