Refuse the calls that wait for a target process that is gone

Cause: when another process takes the place of a target, TargetTask failed the calls at the old one before it replaced the client and before admission knew of it. Each failed call freed a slot, and admission started a waiting call in it, on the client of the old process. The client was then deleted, and with it the results of these calls, so their slots stayed taken; or it was kept (another service), and the calls went to the address.

endProcess() cancels the calls, deletes the client, tells admission that the target is down, which refuses the waiting calls, and frees the slots last; nothing can start without a client. Both places in which a process is replaced use it.

--- a/Source/Node/LocalTarget.cpp
+++ b/Source/Node/LocalTarget.cpp
@@ -44,6 +44,12 @@
     isProbing = false;
 }
 
+void LocalTarget::disconnect()
+{
+    client.reset();
+    isProbing = false;
+}
+
 TargetState LocalTarget::effectiveState() const
 {
     if (!announcement || isRefusing)
--- a/Source/Node/LocalTarget.h
+++ b/Source/Node/LocalTarget.h
@@ -46,8 +46,9 @@
     LocalTarget(event_base*, NodeId self, const ServiceName&, const TargetSection&, Instant now);
 
     // Creates the client for the address of the target; called when the address is first known and when it changes.
-    // Results of requests to the previous process are dropped.
     void connect(const Endpoint&, bool allowsCloseDelimitedAnswers);
+    // Deletes the client. Results of its requests are dropped, so no call may be running.
+    void disconnect();
     // Ready only if the target has announced so, is not drained by an operator, and its announcement has not expired.
     TargetState effectiveState() const;
 
@@ -56,6 +57,7 @@
     ServiceName service;
     AdmissionController admission;
     PendingReplies replies;
+    // Null until the first announcement and once the process is known to be gone.
     std::unique_ptr<TargetClient> client;
     std::optional<TargetAnnouncement> announcement;
     Instant announcedAt;
--- a/Source/Node/TargetTask.cpp
+++ b/Source/Node/TargetTask.cpp
@@ -429,11 +429,8 @@
 void TargetTask::supersedeOthers(const LocalTarget& present)
 {
     for (auto& [service, target] : m_targets) {
-        if (target.get() == &present || !target->announcement || target->announcement->instance.empty())
-            continue;
-        target->announcement.reset();
-        failRunning(*target, LossReason::TargetClosed);
-        stateChanged(*target);
+        if (target.get() != &present && target->announcement && !target->announcement->instance.empty())
+            endProcess(*target);
     }
 }
 
@@ -453,20 +450,18 @@
 
 void TargetTask::applyAnnouncement(LocalTarget& target, const TargetAnnouncement& announcement, Instant now)
 {
-    TargetState before = target.effectiveState();
     bool isOtherProcess = !target.announcement || target.announcement->endpoint != announcement.endpoint
         || target.announcement->instance != announcement.instance
         || target.announcement->startedAtMilliseconds != announcement.startedAtMilliseconds;
     bool hasOtherSlots = !target.announcement || target.announcement->slots != announcement.slots;
-    // The check is over, as its answer will not come.
-    if (isOtherProcess && !target.closedCalls.empty())
-        endChecked(target, true);
+    if (isOtherProcess && target.client)
+        endProcess(target);
+    TargetState before = target.effectiveState();
     target.end = 0;
     target.announcement = announcement;
     target.announcedAt = now;
     target.isRefusing = false;
     if (isOtherProcess) {
-        failRunning(target, LossReason::TargetClosed);
         target.connect(announcement.endpoint, dialect().allowsCloseDelimitedAnswers());
         target.admission.resetRequestLimit();
         target.admission.setWarmUpEnd(now + announcement.coldFor);
@@ -735,16 +730,24 @@
             { "status", status } });
 }
 
-void TargetTask::failRunning(LocalTarget& target, LossReason reason)
+void TargetTask::endProcess(LocalTarget& target)
 {
-    auto running = std::exchange(target.running, {});
-    for (auto& [id, request] : running) {
-        bool hasNotLeft = request.handle.cancel();
-        SendResult result = Lost { .reason = reason };
-        if (hasNotLeft)
+    // The check is over, as its answer will not come.
+    if (!target.closedCalls.empty())
+        endChecked(target, true);
+    std::vector<std::pair<AttemptId, SendResult>> ended;
+    for (auto& [id, request] : std::exchange(target.running, {})) {
+        SendResult result = Lost { .reason = LossReason::TargetClosed };
+        if (request.handle.cancel())
             result = NotSent { .reason = NotSentReason::PoolFull };
-        targetFinished(target, id, std::move(result));
+        ended.emplace_back(id, std::move(result));
     }
+    target.disconnect();
+    target.announcement.reset();
+    // Refuses the waiting calls, which would otherwise start in the slots that are freed below.
+    stateChanged(target);
+    for (auto& [id, result] : ended)
+        targetFinished(target, id, std::move(result));
 }
 
 // --- health and load probes
--- a/Source/Node/TargetTask.h
+++ b/Source/Node/TargetTask.h
@@ -68,7 +68,9 @@
     void checkForEnd(LocalTarget&, uint32_t attempt);
     void endChecked(LocalTarget&, bool hasEnded);
     void recordEnd(LocalTarget&, size_t calls);
-    void failRunning(LocalTarget&, LossReason);
+    // The process at the target's address is gone: fails its calls, refuses the waiting ones and closes the
+    // connections. No call starts before the next announcement.
+    void endProcess(LocalTarget&);
     static void logTargetAnswer(const LocalTarget&, const AttemptId&, const SendResult&);
     void applyDefinition(LocalTarget&, const ServiceDefinition&);
 
