Use an older target after a restart only if it renews its announcement

Cause: a new process believed a single announcement, which may arrive seconds after its sender has left. Departures reach a new process by its row or by members, and both can have missed one: the store was down, and all members ended.

Within one process the order of incarnations and sequence numbers refuses such an announcement; a new process has none.

A process that is not the first on its VM now takes a target older than itself as confirmed once it has renewed its announcement. For two intervals after its start one announcement is enough, so a restart costs a sound target nothing; if reading the rows has failed since the start it never is. Holding back the acknowledgement would not help: while the store is down nothing outlives all nodes.

--- a/Source/Node/AnnouncementOrder.cpp
+++ b/Source/Node/AnnouncementOrder.cpp
@@ -18,12 +18,21 @@
         = m_current && !isSameStart && incarnation.startedAtMilliseconds < m_current->startedAtMilliseconds;
     if (isEarlierStart && now - m_renewedAt < m_options.renewalLimit)
         return AnnouncementFreshness::Stale;
+    m_isRenewed = isSameStart;
     m_current = std::move(incarnation);
     m_sequence = announcement.sequence;
     m_renewedAt = now;
     return AnnouncementFreshness::Current;
 }
 
+bool AnnouncementOrder::isConfirmed(Instant now) const
+{
+    bool isOlder = m_current && m_current->startedAtMilliseconds < m_options.startedAtMilliseconds;
+    if (!m_options.mayHavePredecessor || !isOlder || m_isRenewed)
+        return true;
+    return !m_hasStoreFailed && now < graceEnd();
+}
+
 std::optional<TargetIncarnation> AnnouncementOrder::withdraw(std::string_view instance)
 {
     if (!m_current || m_current->instance != instance)
--- a/Source/Node/AnnouncementOrder.h
+++ b/Source/Node/AnnouncementOrder.h
@@ -26,6 +26,11 @@
         // announcement for this long, as the clock may have been set back between the two starts. Covers two heartbeats
         // at the usual interval of 1.5 s.
         Duration renewalLimit { std::chrono::seconds(3) };
+        // Start of this process, by the steady clock and in milliseconds since the Unix epoch.
+        Instant startedAt {};
+        uint64_t startedAtMilliseconds { 0 };
+        // An earlier process on this VM may have acknowledged departures that this one cannot learn of.
+        bool mayHavePredecessor { false };
     };
 
     AnnouncementOrder() = default;
@@ -41,6 +46,14 @@
     // Restores a departure that an earlier process of this node acknowledged.
     void restoreDeparture(TargetIncarnation departed) { m_departed = std::move(departed); }
     bool hasDeparted(std::string_view instance) const { return m_departed && m_departed->instance == instance; }
+    // The store has failed since this process started, so it may have missed departures that were acknowledged before.
+    void noteStoreFailure() { m_hasStoreFailed = true; }
+    // Whether the current incarnation is known to be alive. An announcement may arrive seconds after its sender has
+    // departed, and if the departure was acknowledged by an earlier process and not stored, nothing else tells. So an
+    // incarnation that the earlier process may have heard has to renew its announcement. Until graceEnd() one
+    // announcement is enough, unless the store has failed.
+    bool isConfirmed(Instant now) const;
+    Instant graceEnd() const { return m_options.startedAt + m_options.renewalLimit; }
     const std::optional<TargetIncarnation>& current() const { return m_current; }
 
 private:
@@ -49,6 +62,9 @@
     // Sequence number of the newest accepted announcement.
     uint64_t m_sequence { 0 };
     Instant m_renewedAt;
+    // Whether the current incarnation was announced more than once.
+    bool m_isRenewed { false };
+    bool m_hasStoreFailed { false };
     // The incarnation that departed last.
     std::optional<TargetIncarnation> m_departed;
 };
--- a/Source/Node/DirectoryTask.cpp
+++ b/Source/Node/DirectoryTask.cpp
@@ -268,8 +268,10 @@
         updateStoreReachability(rows.has_value(), "row-list", rows ? std::string_view() : toText(rows.error().code));
         if (rows)
             rowsListed(rows.value());
-        else
+        else {
+            m_context.status.hasRowReadFailed |= !m_context.status.isRowRead;
             m_rows.readFailed(steadyNow());
+        }
         tickRows();
     }));
 }
--- a/Source/Node/LocalTarget.cpp
+++ b/Source/Node/LocalTarget.cpp
@@ -58,7 +58,7 @@
         return TargetState::Draining;
     // An earlier process may have acknowledged the departure of a target with an instance id, so the target is not
     // ready until the departures are known.
-    bool mayHaveDeparted = !areDeparturesKnown && !announcement->instance.empty();
+    bool mayHaveDeparted = (!areDeparturesKnown || isUnconfirmed) && !announcement->instance.empty();
     if ((mayHaveDeparted || firstAnswerDeadline) && announcement->state == TargetState::Ready)
         return TargetState::Starting;
     return announcement->state;
--- a/Source/Node/LocalTarget.h
+++ b/Source/Node/LocalTarget.h
@@ -65,6 +65,8 @@
     bool isDrainedByOperator { false };
     // Whether the store or other members have reported the departures that earlier processes acknowledged.
     bool areDeparturesKnown { false };
+    // The announcement may have been sent before a departure that only an earlier process knew of.
+    bool isUnconfirmed { false };
     // Until when the target counts as starting because it has not answered this process yet; empty once it has. Its
     // first answer tells whether it limits requests or leaves.
     std::optional<Instant> firstAnswerDeadline;
--- a/Source/Node/NodeContext.h
+++ b/Source/Node/NodeContext.h
@@ -30,6 +30,8 @@
     bool hasJoined { false };
     // The row of this VM in the shared store, which includes the same information, has been read.
     bool isRowRead { false };
+    // Reading it has failed at least once before.
+    bool hasRowReadFailed { false };
     // Members, and therefore targets, may be missing from the view.
     bool isViewPartial { true };
     // Upper bound of the number of nodes: members, and rows whose node has not replied yet.
--- a/Source/Node/TargetTask.cpp
+++ b/Source/Node/TargetTask.cpp
@@ -63,6 +63,15 @@
     return n;
 }
 
+AnnouncementOrder::Options makeOrderOptions(const NodeContext& context)
+{
+    auto now = std::chrono::system_clock::now().time_since_epoch();
+    return { .startedAt = context.status.startedAt,
+        .startedAtMilliseconds
+        = static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count()),
+        .mayHavePredecessor = !context.settings.node.isFirstStart };
+}
+
 MeasureOptions makeMeasureOptions(const MeasureSection& settings)
 {
     MeasureOptions options;
@@ -88,6 +97,7 @@
     , m_timer(context.loop, guarded([this] { wake(); }))
     , m_pauses(context.loop, {}, guarded([this](Duration gap) { pauseDetected(gap); }))
     , m_budget(makeMeasureOptions(context.settings.measure), steadyNow())
+    , m_order(makeOrderOptions(context))
     , m_catalogue(std::make_shared<ServiceCatalogue>())
 {
 }
@@ -460,6 +470,7 @@
     target.end = 0;
     target.announcement = announcement;
     target.announcedAt = now;
+    target.isUnconfirmed = !m_order.isConfirmed(now);
     target.isRefusing = false;
     if (isOtherProcess) {
         target.connect(announcement.endpoint, dialect().allowsCloseDelimitedAnswers());
@@ -517,6 +528,20 @@
     }
 }
 
+void TargetTask::updateConfirmed(Instant now)
+{
+    if (m_context.status.hasRowReadFailed)
+        m_order.noteStoreFailure();
+    for (auto& [service, target] : m_targets) {
+        bool isCurrent = target->announcement && m_order.current()
+            && target->announcement->instance == m_order.current()->instance;
+        if (!isCurrent || target->isUnconfirmed == !m_order.isConfirmed(now))
+            continue;
+        target->isUnconfirmed = !target->isUnconfirmed;
+        stateChanged(*target);
+    }
+}
+
 void TargetTask::expireAnnouncements(Instant now)
 {
     for (auto& [service, target] : m_targets) {
@@ -861,6 +886,7 @@
     m_pauses.check();
     updateDeparturesKnown();
     Instant now = steadyNow();
+    updateConfirmed(now);
     forEach([&](LocalTarget& target, AdmissionActions& actions) { target.admission.tick(now, actions); });
     if (now >= m_nextCheck) {
         m_nextCheck = now + checkInterval;
@@ -868,6 +894,8 @@
         probeTargets(now);
     }
     Instant next = m_nextCheck;
+    if (now < m_order.graceEnd())
+        next = std::min(next, m_order.graceEnd());
     for (auto& [service, target] : m_targets) {
         if (target->firstAnswerDeadline && now >= *target->firstAnswerDeadline)
             endFirstAnswerWait(*target);
--- a/Source/Node/TargetTask.h
+++ b/Source/Node/TargetTask.h
@@ -81,6 +81,7 @@
     void stateChanged(LocalTarget&);
     void publishTargets();
     void updateDeparturesKnown();
+    void updateConfirmed(Instant now);
     void expireAnnouncements(Instant now);
     void probeTargets(Instant now);
     void probe(LocalTarget&, Instant now);
--- a/tests/Node/AnnouncementOrderTest.cpp
+++ b/tests/Node/AnnouncementOrderTest.cpp
@@ -80,6 +80,61 @@
     EXPECT_EQ(order.classify(makeAnnouncement("i-2", 300, 1), start), AnnouncementFreshness::Current);
 }
 
+namespace {
+
+// A process that was started after the targets with a start time below 500.
+AnnouncementOrder makeRestartedOrder()
+{
+    return AnnouncementOrder({ .startedAt = start, .startedAtMilliseconds = 500, .mayHavePredecessor = true });
+}
+
+} // namespace
+
+TEST(AnnouncementOrder, AnOlderTargetHasToRenewItsAnnouncementInTime)
+{
+    auto order = makeRestartedOrder();
+    order.classify(makeAnnouncement("i-1", 100, 4), start + 1s);
+    EXPECT_TRUE(order.isConfirmed(start + 1s));
+    EXPECT_TRUE(order.isConfirmed(order.graceEnd() - 1us));
+    EXPECT_FALSE(order.isConfirmed(order.graceEnd()));
+    // A repetition is no renewal.
+    order.classify(makeAnnouncement("i-1", 100, 4), start + 3s);
+    EXPECT_FALSE(order.isConfirmed(start + 3s));
+    order.classify(makeAnnouncement("i-1", 100, 5), start + 4s);
+    EXPECT_TRUE(order.isConfirmed(start + 4s));
+}
+
+TEST(AnnouncementOrder, AfterAStoreFailureOneAnnouncementOfAnOlderTargetIsNotEnough)
+{
+    auto order = makeRestartedOrder();
+    order.noteStoreFailure();
+    order.classify(makeAnnouncement("i-1", 100, 4), start + 1s);
+    EXPECT_FALSE(order.isConfirmed(start + 1s));
+    order.classify(makeAnnouncement("i-1", 100, 5), start + 2s);
+    EXPECT_TRUE(order.isConfirmed(start + 2s));
+}
+
+TEST(AnnouncementOrder, ATargetThatNoEarlierProcessCanHaveHeardIsConfirmedAtOnce)
+{
+    auto order = makeRestartedOrder();
+    order.noteStoreFailure();
+    order.classify(makeAnnouncement("i-2", 900, 1), start + 9s);
+    EXPECT_TRUE(order.isConfirmed(start + 9s));
+    AnnouncementOrder first({ .startedAt = start, .startedAtMilliseconds = 500 });
+    first.classify(makeAnnouncement("i-1", 100, 4), start + 9s);
+    EXPECT_TRUE(first.isConfirmed(start + 9s));
+}
+
+// The renewals of one incarnation say nothing about the next one.
+TEST(AnnouncementOrder, AnotherOlderTargetHasToRenewItsOwnAnnouncement)
+{
+    auto order = makeRestartedOrder();
+    order.classify(makeAnnouncement("i-1", 100, 4), start + 1s);
+    order.classify(makeAnnouncement("i-1", 100, 5), start + 2s);
+    order.classify(makeAnnouncement("i-2", 300, 1), start + 9s);
+    EXPECT_FALSE(order.isConfirmed(start + 9s));
+}
+
 TEST(NodeRow, RefusedRequestsAreKeptWithAndWithoutADeparture)
 {
     NodeRow row { .node = NodeId { 5 }, .gossip = { .address = "10.1.0.4", .port = 7600 } };
--- a/tests/Node/TargetTaskFixture.h
+++ b/tests/Node/TargetTaskFixture.h
@@ -74,33 +74,40 @@
     static constexpr uint16_t slots = 9;
     static constexpr size_t offered = 2 * slots;
 
-    TargetTaskTest()
+    // startedAgo: age of the process, whose start a target with start time 100 precedes.
+    void startNode(bool isFirstStart = true, Duration startedAgo = {})
     {
+        m_settings.node.isFirstStart = isFirstStart;
         m_settings.listen.local.port = freePort();
         m_context.status.isDiscoveryDone = true;
         m_context.status.guard = GuardState::Confirmed;
-        m_context.status.startedAt = steadyNow();
+        m_context.status.startedAt = steadyNow() - startedAgo;
         m_context.ports.membership.attach(&m_membership);
         m_context.tracer = makeJsonTracer(*openSpanSink("none"), 1, "test");
-        m_task.start();
+        m_task.emplace(m_context);
+        m_task->start();
         auto catalogue = std::make_shared<ServiceCatalogue>();
         for (auto& it : { m_service, m_otherService })
             catalogue->services[it] = { .name = it, .version = 1 };
         m_context.ports.target.post(CatalogueChanged { .catalogue = catalogue });
     }
-    ~TargetTaskTest() override { m_task.stop(); }
+    ~TargetTaskTest() override
+    {
+        if (m_task)
+            m_task->stop();
+    }
 
     bool runUntil(const std::function<bool()>& condition) { return m_loop.runUntil(condition, patience); }
 
-    TargetAnnouncement makeAnnouncement(
-        const ServiceName& service, std::string instance, uint64_t startedAt, const HeldTarget& target) const
+    TargetAnnouncement makeAnnouncement(const ServiceName& service, std::string instance, uint64_t startedAt,
+        const HeldTarget& target, uint64_t sequence = 1) const
     {
         return { .service = service,
             .endpoint = target.endpoint(),
             .slots = slots,
             .instance = std::move(instance),
             .startedAtMilliseconds = startedAt,
-            .sequence = 1 };
+            .sequence = sequence };
     }
 
     // Sends the message to the node and returns the status of its answer; zero if there is none.
@@ -145,10 +152,11 @@
         auto it = std::ranges::find(m_targets, service, &MemberTarget::service);
         return it == m_targets.end() ? TargetState::Down : it->state;
     }
-    bool waitUntilReady(const ServiceName& service)
+    bool becomesReady(const ServiceName& service, Duration limit)
     {
-        return runUntil([&] { return stateOf(service) == TargetState::Ready; });
+        return m_loop.runUntil([&] { return stateOf(service) == TargetState::Ready; }, limit);
     }
+    bool waitUntilReady(const ServiceName& service) { return becomesReady(service, patience); }
 
     template <typename Reply> size_t countReplies() const
     {
@@ -171,7 +179,7 @@
     NodeContext m_context {
         .loop = m_loop, .settings = m_settings, .adapter = m_adapter, .self = NodeId { 7 }, .seed = 1
     };
-    TargetTask m_task { m_context };
+    std::optional<TargetTask> m_task;
     Mailbox<MembershipMessage> m_membership { m_loop, [this](MembershipMessage&& message) {
                                                  if (auto* it = std::get_if<TargetsAnnounced>(&message))
                                                      m_targets = std::move(it->targets);
--- a/tests/Node/TargetTaskTest.cpp
+++ b/tests/Node/TargetTaskTest.cpp
@@ -1,4 +1,4 @@
-// Guards against calls that are started at, or remain with, a target process that is gone.
+// Guards against calls that are started at, or remain with, a target process that is gone or leaves.
 #include "TargetTaskFixture.h"
 
 using namespace Berylport;
@@ -7,6 +7,7 @@
 // ever.
 TEST_F(TargetTaskTest, ARestartAfterASilentCrashFreesAllSlots)
 {
+    startNode();
     HeldTarget crashed(m_loop.base());
     ASSERT_EQ(tell(makeAnnouncement(m_service, "i-1", 100, crashed)), 200);
     ASSERT_TRUE(waitUntilReady(m_service));
@@ -28,6 +29,7 @@
 // Calls that waited for a silent target were sent to its address, which had gone to a target of another service.
 TEST_F(TargetTaskTest, WaitingCallsDoNotReachAnotherServiceAtTheSameAddress)
 {
+    startNode();
     HeldTarget address(m_loop.base());
     ASSERT_EQ(tell(makeAnnouncement(m_service, "i-1", 100, address)), 200);
     ASSERT_TRUE(waitUntilReady(m_service));
@@ -39,3 +41,34 @@
     EXPECT_EQ(countReplies<CallRefused>(), offered - firstLimit());
     EXPECT_EQ(address.arrived(), firstLimit());
 }
+
+// A delayed announcement reinstated a target whose departure only the killed process had acknowledged.
+TEST_F(TargetTaskTest, ALateAnnouncementAfterARestartIsNotEnough)
+{
+    startNode(false, std::chrono::seconds(10));
+    HeldTarget target(m_loop.base());
+    ASSERT_EQ(tell(makeAnnouncement(m_service, "i-1", 100, target, 4)), 200);
+    EXPECT_FALSE(becomesReady(m_service, std::chrono::milliseconds(600)));
+    ASSERT_EQ(tell(makeAnnouncement(m_service, "i-1", 100, target, 5)), 200);
+    EXPECT_TRUE(waitUntilReady(m_service));
+}
+
+// The store failed when the process started, so the departure may be missing from it.
+TEST_F(TargetTaskTest, AfterAStoreFailureALateAnnouncementIsNotEnough)
+{
+    startNode(false);
+    m_context.status.hasRowReadFailed = true;
+    HeldTarget target(m_loop.base());
+    ASSERT_EQ(tell(makeAnnouncement(m_service, "i-1", 100, target, 4)), 200);
+    EXPECT_FALSE(becomesReady(m_service, std::chrono::milliseconds(600)));
+    ASSERT_EQ(tell(makeAnnouncement(m_service, "i-1", 100, target, 5)), 200);
+    EXPECT_TRUE(waitUntilReady(m_service));
+}
+
+TEST_F(TargetTaskTest, ATargetIsUsedAtOnceAfterARestartOfItsNode)
+{
+    startNode(false);
+    HeldTarget target(m_loop.base());
+    ASSERT_EQ(tell(makeAnnouncement(m_service, "i-1", 100, target, 4)), 200);
+    EXPECT_TRUE(becomesReady(m_service, std::chrono::seconds(2)));
+}
