Write a pending departure as soon as the store answers

A departure that could not be written because the store was down was retried with a delay of up to 4 s after the store was back.

The answers of the configuration's calls come about once a second, so they tell that the store is back; NodeRegistrar now brings a pending departure forward when one arrives. Rows without one keep their random delays.

--- a/Source/Node/DirectoryTask.cpp
+++ b/Source/Node/DirectoryTask.cpp
@@ -149,6 +149,8 @@
     std::vector<FollowerAction> actions;
     if (snapshot) {
         updateStoreReachability(true, "configuration", {});
+        m_rows.storeAnswered(steadyNow());
+        tickRows();
         noteEra(snapshot.value().position.era);
         if (snapshot.value().document)
             applyDocument(*snapshot.value().document, "store");
--- a/Source/Node/NodeRegistrar.cpp
+++ b/Source/Node/NodeRegistrar.cpp
@@ -124,6 +124,13 @@
         retryLater(now);
 }
 
+void NodeRegistrar::storeAnswered(Instant now)
+{
+    bool isStored = m_stored && m_stored->departed == m_row.departed;
+    if (m_row.departed && !isStored)
+        m_nextAttempt = std::min(m_nextAttempt, now);
+}
+
 void NodeRegistrar::setDeparted(const TargetIncarnation& departed, Instant now)
 {
     m_row.departed = departed;
--- a/Source/Node/NodeRegistrar.h
+++ b/Source/Node/NodeRegistrar.h
@@ -80,6 +80,8 @@
     void readFailed(Instant now);
     void written(uint64_t version, uint64_t era, Instant now);
     void writeFailed(WriteFailure, Instant now);
+    // The store has answered another call, so a departure that is not stored yet is written without a further delay.
+    void storeAnswered(Instant now);
     // The store has told its era in any response. After a new one the row is read again, as it may have been lost.
     void eraSeen(uint64_t era, Instant now);
 
