Answer the calls that are left when a planned stop reaches its limit

Cause: the end of a drain stopped the event loop with all calls as they were. A request was taken if three latency objectives were left, so one with a longer timeout and a slow target still ran at the limit; requests made by targets were taken at any time.

The process ends 150 ms later, inside the reserved 300 ms. After half of the time before the kill a request, also one of a target, is taken only if its whole timeout fits.

--- a/Source/Calls/CallCoordinator.cpp
+++ b/Source/Calls/CallCoordinator.cpp
@@ -131,6 +131,15 @@
     erase(*call);
 }
 
+void CallCoordinator::endCalls(Instant now, CallActions& actions)
+{
+    tick(now, actions);
+    while (!m_calls.empty()) {
+        auto& call = m_calls.begin()->second;
+        finishWithFailure(call, call.mayHaveRun() ? CallFailure::ResponseLost : CallFailure::Refused, now, actions);
+    }
+}
+
 void CallCoordinator::tick(Instant now, CallActions& actions)
 {
     while (!m_timers.empty() && m_timers.begin()->first <= now)
@@ -305,7 +314,7 @@
 
 bool CallCoordinator::hasTimeForAttempt(PendingCall& call, Instant now)
 {
-    return call.remaining(now) > stateOf(call).latency.median();
+    return m_mayRetry && call.remaining(now) > stateOf(call).latency.median();
 }
 
 std::optional<Selection> CallCoordinator::selectUntried(PendingCall& call, Instant now)
--- a/Source/Calls/CallCoordinator.h
+++ b/Source/Calls/CallCoordinator.h
@@ -42,6 +42,10 @@
     // The process with this node id has ended; a restarted one has a new id.
     void nodeTerminated(NodeId, Instant now, CallActions&);
     void callerDisconnected(const CallId&, Instant now, CallActions&);
+    // From now on no call gets a further attempt.
+    void stopRetries() { m_mayRetry = false; }
+    // The process ends: every pending call gets its final answer.
+    void endCalls(Instant now, CallActions&);
     void tick(Instant now, CallActions&);
     // Time at which tick() is due; empty when no call is pending.
     std::optional<Instant> nextWake() const;
@@ -110,6 +114,7 @@
     std::unordered_map<CallId, PendingCall> m_calls;
     // One entry per pending call, at its next timer.
     TimerQueue m_timers;
+    bool m_mayRetry { true };
     Counters m_counters;
 };
 
--- a/Source/Node/EntryTask.cpp
+++ b/Source/Node/EntryTask.cpp
@@ -3,7 +3,6 @@
 
 #include "Log/Log.h"
 #include "Membership/Membership.h"
-#include "Node/ShutdownWindow.h"
 #include "Trace/Trace.h"
 
 #include <algorithm>
@@ -196,9 +195,8 @@
     }
     const RequestPolicy& resolved = policy.value();
     Duration timeout = std::min(resolved.definition.callerWait, caller.value().timeout.value_or(Duration::max()));
-    if (!resolved.isNested
-        && !mayStartRequest(
-            m_context.status.terminatesAt, steadyNow(), std::max(resolved.objective, Duration::zero()), timeout)) {
+    Duration objective = std::max(resolved.objective, Duration::zero());
+    if (m_isEnding || !mayStartRequest(m_context.status.shutdown, steadyNow(), objective, timeout)) {
         refuse(responder, requestId, EntryRefusal::Stopping);
         return;
     }
@@ -468,6 +466,21 @@
     m_server.closeAfterAnswers();
 }
 
+void EntryTask::handle(StopRetries&&)
+{
+    m_isEnding = true;
+    m_coordinator.stopRetries();
+}
+
+void EntryTask::handle(EndCalls&&)
+{
+    for (auto& [id, child] : std::exchange(m_pendingChildCalls, {}))
+        refuse(child.caller.responder, child.caller.requestId, EntryRefusal::Stopping);
+    CallActions actions;
+    m_coordinator.endCalls(steadyNow(), actions);
+    perform(actions);
+}
+
 // --- actions
 
 void EntryTask::perform(CallActions& actions)
--- a/Source/Node/EntryTask.h
+++ b/Source/Node/EntryTask.h
@@ -81,6 +81,8 @@
     void handle(ServingChanged&&);
     void handle(ParentFound&&);
     void handle(BeginDrain&&);
+    void handle(StopRetries&&);
+    void handle(EndCalls&&);
 
     void perform(CallActions&);
     void perform(SendAttempt&&);
@@ -109,6 +111,8 @@
     RetryWaitEstimator m_returning;
     CataloguePointer m_catalogue;
     GuardState m_guard { GuardState::Unconfirmed };
+    // The process ends without waiting for the calls that are left.
+    bool m_isEnding { false };
     uint64_t m_lastSequence { 0 };
     std::unordered_map<CallId, Caller> m_callers;
     std::unordered_map<CallId, PendingChildCall> m_pendingChildCalls;
--- a/Source/Node/NodeContext.h
+++ b/Source/Node/NodeContext.h
@@ -6,6 +6,7 @@
 #include "Metrics/Metrics.h"
 #include "Node/NodeAdapter.h"
 #include "Node/NodeMessages.h"
+#include "Node/ShutdownWindow.h"
 #include "Settings/Settings.h"
 #include "Suspects/Suspects.h"
 
@@ -18,9 +19,8 @@
 struct NodeStatus {
     GuardState guard { GuardState::Unconfirmed };
     bool isDraining { false };
-    // Time at which a shutdown in progress ends the process even if calls are still running. Absent if there is no
-    // limit.
-    std::optional<Instant> terminatesAt;
+    // Set while a shutdown is in progress that ends the process even if calls are still running.
+    std::optional<ShutdownWindow> shutdown;
     bool isStoreReachable { false };
     bool isCoordinator { false };
     // This node has as complete a view of the members as another node, or knows that there is no other node.
--- a/Source/Node/NodeDaemon.cpp
+++ b/Source/Node/NodeDaemon.cpp
@@ -29,6 +29,8 @@
 constexpr Duration lingerTime = std::chrono::milliseconds(500);
 // The drain ends this long before the process is killed, so that the last responses are sent.
 constexpr Duration killMargin = std::chrono::milliseconds(300);
+// Part of that margin in which the calls that are left get their final answers.
+constexpr Duration finalAnswerTime = std::chrono::milliseconds(150);
 // Upper bound of the delay between an event and its line in the log.
 constexpr Duration logFlushInterval = std::chrono::milliseconds(200);
 // Polling interval for changes of the settings file that are not signalled.
@@ -81,6 +83,7 @@
         , m_root(m_loop, "node", makeOptions(), makeChildren())
         , m_signals(m_loop, { SIGTERM, SIGINT, SIGHUP }, [this](int signal) { handleSignal(signal); })
         , m_drainTimer(m_loop, [this] { checkDrain(); })
+        , m_endTimer(m_loop, [this] { m_loop.stop(); })
         , m_logTimer(m_loop, [] { flushLog(); })
         , m_settingsTimer(m_loop, [this] { reloadSettings(); })
     {
@@ -182,7 +185,8 @@
         m_drainDeadline = m_drainStart + shutdown.drainLimit;
         if (shutdown.killTime > killMargin) {
             m_drainDeadline = std::min(m_drainDeadline, m_drainStart + shutdown.killTime - killMargin);
-            m_context.status.terminatesAt = m_drainDeadline;
+            m_context.status.shutdown
+                = ShutdownWindow { .noticedAt = m_drainStart + shutdown.killTime / 2, .terminatesAt = m_drainDeadline };
         }
         logEvent(Event::NodeDraining,
             { { "entry_calls", std::to_string(m_context.status.entryCalls) },
@@ -228,13 +232,23 @@
             abortDrain("drain limit");
     }
 
+    // The calls that are left are answered rather than cut off: what has not started has not run, and of the others the
+    // caller learns at once that they may have run.
     void abortDrain(std::string reason)
     {
+        if (m_exit == NodeExit::DrainAborted) {
+            m_loop.stop();
+            return;
+        }
         logEvent(Event::DrainCutShort,
             { { "reason", std::move(reason) }, { "entry_calls", std::to_string(m_context.status.entryCalls) },
                 { "admitted_calls", std::to_string(m_context.status.admittedCalls) } });
         m_exit = NodeExit::DrainAborted;
-        m_loop.stop();
+        m_context.ports.entry.post(StopRetries {});
+        if (!m_context.ports.target.post(EndCalls {}))
+            m_context.ports.entry.post(EndCalls {});
+        m_drainTimer.stop();
+        m_endTimer.startOnce(finalAnswerTime);
     }
 
     // Applies the settings that can change at run time (service name and log level); the others need a restart.
@@ -272,6 +286,7 @@
     Supervisor m_root;
     SignalWatcher m_signals;
     Timer m_drainTimer;
+    Timer m_endTimer;
     Timer m_logTimer;
     Timer m_settingsTimer;
     Instant m_drainStart;
--- a/Source/Node/NodeMessages.h
+++ b/Source/Node/NodeMessages.h
@@ -39,6 +39,12 @@
 // A graceful shutdown has begun.
 struct BeginDrain { };
 
+// The process ends before the calls have: from now on no call gets another attempt. Sent before EndCalls.
+struct StopRetries { };
+
+// Gives each call that is left its final reply. The target task passes it on to the entry task behind its own replies.
+struct EndCalls { };
+
 // --- to the entry task
 
 struct AttemptReplied {
@@ -76,7 +82,7 @@
 };
 
 using EntryMessage = std::variant<AttemptReplied, AttemptNotSent, QueryReplied, QueryFailed, TargetsChanged,
-    CatalogueChanged, MemberGone, ServingChanged, ParentFound, BeginDrain>;
+    CatalogueChanged, MemberGone, ServingChanged, ParentFound, BeginDrain, StopRetries, EndCalls>;
 
 // --- to the target task
 
@@ -121,7 +127,7 @@
 };
 
 using TargetMessage = std::variant<OfferCall, CancelCall, QueryCall, LinkOpened, LinkClosed, LinkConfirmed, FindParent,
-    ReturnRetryTokens, DrainTarget, CatalogueChanged, ServingChanged, DepartureRestored, BeginDrain>;
+    ReturnRetryTokens, DrainTarget, CatalogueChanged, ServingChanged, DepartureRestored, BeginDrain, EndCalls>;
 
 // --- to the link task
 
--- a/Source/Node/ShutdownWindow.cpp
+++ b/Source/Node/ShutdownWindow.cpp
@@ -12,9 +12,13 @@
 
 } // namespace
 
-bool mayStartRequest(std::optional<Instant> terminatesAt, Instant now, Duration objective, Duration timeout)
+bool mayStartRequest(const std::optional<ShutdownWindow>& window, Instant now, Duration objective, Duration timeout)
 {
-    return !terminatesAt || now + std::min(objectiveMultiple * objective, timeout) <= *terminatesAt;
+    if (!window)
+        return true;
+    Duration left = window->terminatesAt - now;
+    bool isEarly = now <= window->noticedAt;
+    return left >= timeout || (isEarly && left >= objectiveMultiple * objective);
 }
 
 } // namespace Berylport
--- a/Source/Node/ShutdownWindow.h
+++ b/Source/Node/ShutdownWindow.h
@@ -8,9 +8,16 @@
 
 namespace Berylport {
 
-// Without a termination time the process waits for all started requests. Otherwise a request is started only if the
-// remaining time is at least three times its latency objective, or its whole timeout. A later request could be aborted
-// while it runs, leaving the caller with an unknown outcome; a refusal guarantees that it has not run.
-bool mayStartRequest(std::optional<Instant> terminatesAt, Instant now, Duration objective, Duration timeout);
+struct ShutdownWindow {
+    // The first half of the time before the process is killed. Callers that respect readiness have moved by its end.
+    Instant noticedAt;
+    // All requests end by then.
+    Instant terminatesAt;
+};
+
+// Without a window the process waits for all started requests. Otherwise a request is started only if its whole timeout
+// fits, or before noticedAt, if three times its latency objective does. Any other request could be aborted while it
+// runs, leaving the caller with an unknown outcome; a refusal guarantees that it has not run.
+bool mayStartRequest(const std::optional<ShutdownWindow>&, Instant now, Duration objective, Duration timeout);
 
 } // namespace Berylport
--- a/Source/Node/TargetTask.cpp
+++ b/Source/Node/TargetTask.cpp
@@ -322,6 +322,12 @@
     forEach([](LocalTarget& target, AdmissionActions& actions) { target.admission.drain(steadyNow(), actions); });
 }
 
+void TargetTask::handle(EndCalls&&)
+{
+    forEach([](LocalTarget& target, AdmissionActions& actions) { target.admission.stop(steadyNow(), actions); });
+    m_context.ports.entry.post(EndCalls {});
+}
+
 // --- announcements
 
 void TargetTask::localRequestArrived(HttpRequest request, const Endpoint&, Responder responder)
--- a/Source/Node/TargetTask.h
+++ b/Source/Node/TargetTask.h
@@ -43,6 +43,7 @@
     void handle(ServingChanged&&);
     void handle(DepartureRestored&&);
     void handle(BeginDrain&&);
+    void handle(EndCalls&&);
 
     // --- HTTP requests of local targets
     void localRequestArrived(HttpRequest, const Endpoint& peer, Responder);
--- a/tests/Calls/CallCoordinatorTest.cpp
+++ b/tests/Calls/CallCoordinatorTest.cpp
@@ -57,6 +57,24 @@
 
 CallFailure failureOf(const AnswerCaller& answer) { return std::get<CallFailure>(answer.result); }
 
+// A planned stop that reached its limit closed the connections of callers without an answer.
+TEST_F(CallCoordinatorTest, TheEndOfTheProcessAnswersEveryCallTruthfully)
+{
+    auto refused = start(makeCall(1, RequestKind::Idempotent, at(10s)), at(0s));
+    auto running = start(makeCall(2, RequestKind::AtMostOnce, at(10s)), at(0s));
+    m_coordinator.stopRetries();
+    auto notRun = onlyAnswer(reply(makeRefusal(refused.request.id, 0s, RefusalReason::Draining), at(1s)));
+    EXPECT_EQ(notRun.outcome, RunOutcome::NotRun);
+    EXPECT_EQ(failureOf(notRun), CallFailure::Refused);
+    m_actions.clear();
+    m_coordinator.endCalls(at(1s), m_actions);
+    auto unknown = onlyAnswer(m_actions);
+    EXPECT_EQ(unknown.id, running.request.id.call);
+    EXPECT_EQ(unknown.outcome, RunOutcome::MayHaveRun);
+    EXPECT_EQ(failureOf(unknown), CallFailure::ResponseLost);
+    EXPECT_EQ(m_coordinator.pendingCount(), 0u);
+}
+
 TEST_F(CallCoordinatorTest, PassesTheWholeAnswerOn)
 {
     auto sent = start(makeCall(1, RequestKind::AtMostOnce, at(1s)), at(0s));
