Serve the request behind an answer that is written when a stop begins

Cause: closeAfterAnswers() ends the reading of each connection that has requests, and relies on the last answer to say "Connection: close". An answer that was already being written had promised to keep the connection. Nothing closed it afterwards, and what the caller sent next was taken from the socket and not parsed.

Evidence: two new tests with an answer beyond the socket's buffers, both failing before: the second request did not arrive within 30 s, and without one the connection stayed open.

Such a connection now goes on until the request behind that answer is served as the last one, or is closed when the answer is out.

--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -390,6 +390,9 @@
     }
     self->updateReadTimer();
     self->parse();
+    // In a later turn, as evhttp still uses its connection after this function.
+    if (self->m_server.isDraining && self->m_pipeline.isEmpty() && self->m_reading == Reading::Idle)
+        startTimer(self->m_readTimer.get(), Duration::zero());
 }
 
 void HttpConnection::handleWriteTimer(evutil_socket_t, short, void* argument)
@@ -416,6 +419,10 @@
 {
     if (!m_evhttpConnection)
         return;
+    // The answer that is being written promises to keep the connection, so the last answer is that of a request behind
+    // it. handleSent() closes the connection if there is none.
+    if (m_writing == Writing::Sending && !m_closesAfterAnswer)
+        return;
     if (!m_pipeline.isEmpty()) {
         m_pipeline.dropWaiting();
         m_reading = Reading::Ended;
--- a/tests/Http/HttpServerTest.cpp
+++ b/tests/Http/HttpServerTest.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr auto longTime = std::chrono::seconds(60);
+// An answer of this size is not written at once.
+constexpr size_t beyondSocketBuffers = 32 * 1024 * 1024;
 
 struct RefusedCase {
     std::string name;
@@ -642,6 +644,45 @@
     EXPECT_EQ(0u, m_server->connectionCount());
 }
 
+// The request behind an answer that was being written when a stop began was read and never answered.
+TEST_F(HttpServerTest, AStopServesTheRequestBehindAnAnswerThatIsBeingWritten)
+{
+    m_isAnswering = false;
+    start();
+    auto socket = connect();
+    socket.send(get(""));
+    ASSERT_TRUE(runUntil([&] { return m_received.size() == 1; }));
+    answerWith(std::string(beyondSocketBuffers, 'x'));
+    turn();
+    m_server->closeAfterAnswers();
+    socket.send(get(""));
+    ASSERT_TRUE(runUntil([&] { return m_received.size() == 2 || socket.isAtEnd(); }));
+    ASSERT_EQ(m_received.size(), 2u);
+    EXPECT_FALSE(contains(socket.received(), "Connection: close"));
+    answerWith("<last>");
+    ASSERT_TRUE(waitForEnd(socket));
+    EXPECT_TRUE(contains(socket.received(), "Connection: close"));
+    EXPECT_TRUE(contains(socket.received(), "<last>"));
+    EXPECT_EQ(0u, m_server->connectionCount());
+}
+
+// The same connection stayed open for ever when no request came.
+TEST_F(HttpServerTest, AStopClosesAConnectionOnceItsAnswerIsWritten)
+{
+    m_isAnswering = false;
+    start();
+    auto socket = connect();
+    socket.send(get(""));
+    ASSERT_TRUE(runUntil([&] { return m_received.size() == 1; }));
+    answerWith(std::string(beyondSocketBuffers, 'x'));
+    turn();
+    m_server->closeAfterAnswers();
+    ASSERT_TRUE(waitForEnd(socket));
+    EXPECT_FALSE(socket.wasReset());
+    EXPECT_EQ(countOf(socket.received(), "x"), beyondSocketBuffers);
+    EXPECT_EQ(0u, m_server->connectionCount());
+}
+
 // Guards against use of a connection or a request after the server or the loop turn that owned it is gone.
 TEST_F(HttpServerTest, MayEndWithRequestsInEveryState)
 {
