Refuse an announcement that names another service for the same target

Cause: the order of announcements took the start and the sequence number from any announcement that can be read. The target's own numbers were lower from then on, so its announcements were answered 409, and its calls were given up as if it had been replaced.

One start of a target serves one service, so an announcement of the same start with another one is refused and leaves no trace; a new start whose service neither the VM's settings nor the configuration name does not displace a target that is alive.

--- a/Source/Node/AnnouncementOrder.cpp
+++ b/Source/Node/AnnouncementOrder.cpp
@@ -18,6 +18,9 @@
         = m_current && !isSameStart && incarnation.startedAtMilliseconds < m_current->startedAtMilliseconds;
     if (isEarlierStart && now - m_renewedAt < m_options.renewalLimit)
         return AnnouncementFreshness::Stale;
+    if (isConflicting(announcement, isSameStart, now))
+        return AnnouncementFreshness::Conflicting;
+    m_service = announcement.service;
     m_isRenewed = isSameStart;
     m_current = std::move(incarnation);
     m_sequence = announcement.sequence;
@@ -25,6 +28,23 @@
     return AnnouncementFreshness::Current;
 }
 
+bool AnnouncementOrder::isKnown(const ServiceName& service) const
+{
+    return !m_options.isKnownService || m_options.isKnownService(service);
+}
+
+// One start of a target serves one service. A new start may serve another one, but one that nobody names does not
+// displace a target that renews its announcements.
+bool AnnouncementOrder::isConflicting(const TargetAnnouncement& announcement, bool isSameStart, Instant now) const
+{
+    if (!m_current || announcement.service == m_service)
+        return false;
+    bool isWorse = isKnown(m_service) && !isKnown(announcement.service);
+    if (isSameStart)
+        return isWorse || isKnown(m_service) == isKnown(announcement.service);
+    return isWorse && now - m_renewedAt < m_options.renewalLimit;
+}
+
 bool AnnouncementOrder::isConfirmed(Instant now) const
 {
     bool isOlder = m_current && m_current->startedAtMilliseconds < m_options.startedAtMilliseconds;
--- a/Source/Node/AnnouncementOrder.h
+++ b/Source/Node/AnnouncementOrder.h
@@ -5,6 +5,7 @@
 #include "Node/Announcement.h"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -17,6 +18,8 @@
     Stale,
     // From an incarnation that has announced its departure; it receives no more calls.
     Departed,
+    // Names another service than the target that is there; another writer has sent it.
+    Conflicting,
 };
 
 class AnnouncementOrder {
@@ -31,11 +34,13 @@
         uint64_t startedAtMilliseconds { 0 };
         // An earlier process on this VM may have acknowledged departures that this one cannot learn of.
         bool mayHavePredecessor { false };
+        // Whether the VM's settings or the configuration name the service. Null: all are known.
+        std::function<bool(const ServiceName&)> isKnownService {};
     };
 
     AnnouncementOrder() = default;
     explicit AnnouncementOrder(Options options)
-        : m_options(options)
+        : m_options(std::move(options))
     {
     }
 
@@ -57,8 +62,13 @@
     const std::optional<TargetIncarnation>& current() const { return m_current; }
 
 private:
+    bool isConflicting(const TargetAnnouncement&, bool isSameStart, Instant now) const;
+    bool isKnown(const ServiceName&) const;
+
     Options m_options;
     std::optional<TargetIncarnation> m_current;
+    // Service of the current incarnation.
+    ServiceName m_service;
     // Sequence number of the newest accepted announcement.
     uint64_t m_sequence { 0 };
     Instant m_renewedAt;
--- a/Source/Node/TargetTask.cpp
+++ b/Source/Node/TargetTask.cpp
@@ -63,15 +63,6 @@
     return n;
 }
 
-AnnouncementOrder::Options makeOrderOptions(const NodeContext& context)
-{
-    auto now = std::chrono::system_clock::now().time_since_epoch();
-    return { .startedAt = context.status.startedAt,
-        .startedAtMilliseconds
-        = static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count()),
-        .mayHavePredecessor = !context.settings.node.isFirstStart };
-}
-
 MeasureOptions makeMeasureOptions(const MeasureSection& settings)
 {
     MeasureOptions options;
@@ -97,13 +88,25 @@
     , m_timer(context.loop, guarded([this] { wake(); }))
     , m_pauses(context.loop, {}, guarded([this](Duration gap) { pauseDetected(gap); }))
     , m_budget(makeMeasureOptions(context.settings.measure), steadyNow())
-    , m_order(makeOrderOptions(context))
+    , m_order(makeOrderOptions())
     , m_catalogue(std::make_shared<ServiceCatalogue>())
 {
 }
 
 TargetTask::~TargetTask() = default;
 
+AnnouncementOrder::Options TargetTask::makeOrderOptions() const
+{
+    auto now = std::chrono::system_clock::now().time_since_epoch();
+    return { .startedAt = m_context.status.startedAt,
+        .startedAtMilliseconds
+        = static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count()),
+        .mayHavePredecessor = !m_context.settings.node.isFirstStart,
+        .isKnownService = [this](const ServiceName& service) {
+            return service.text == m_context.settings.node.service || m_catalogue->services.contains(service);
+        } };
+}
+
 void TargetTask::start()
 {
     auto endpoint = m_server.listen(m_context.settings.listen.local);
@@ -368,14 +371,17 @@
         responder.answer(dialect().acknowledge(TargetState::Draining));
         return;
     }
-    if (freshness == AnnouncementFreshness::Stale) {
+    if (freshness != AnnouncementFreshness::Current) {
+        bool isStale = freshness == AnnouncementFreshness::Stale;
+        std::string reason = isStale ? "stale" : "conflicting";
         m_context.metrics.add(
-            { .name = "berylport_announcements_rejected_total", .labelName = "reason", .labelValue = "stale" });
+            { .name = "berylport_announcements_rejected_total", .labelName = "reason", .labelValue = reason });
         logEvent(Event::AnnouncementRejected,
-            { { "reason", "stale" }, { "instance", announcement.instance },
+            { { "reason", reason }, { "instance", announcement.instance }, { "service", announcement.service.text },
                 { "sequence", std::to_string(announcement.sequence) },
                 { "current", m_order.current() ? m_order.current()->instance : "none" } });
-        responder.answer(makeTextResponse(409, "a later announcement is known"));
+        responder.answer(makeTextResponse(
+            409, isStale ? "a later announcement is known" : "the target there serves another service"));
         return;
     }
     LocalTarget& target = findOrCreate(announcement.service);
--- a/Source/Node/TargetTask.h
+++ b/Source/Node/TargetTask.h
@@ -75,6 +75,7 @@
     static void logTargetAnswer(const LocalTarget&, const AttemptId&, const SendResult&);
     void applyDefinition(LocalTarget&, const ServiceDefinition&);
 
+    AnnouncementOrder::Options makeOrderOptions() const;
     LocalTarget& findOrCreate(const ServiceName&);
     LocalTarget* find(const ServiceName&);
     template <typename Function> void forEach(Function&&);
--- a/tests/Node/AnnouncementOrderTest.cpp
+++ b/tests/Node/AnnouncementOrderTest.cpp
@@ -2,6 +2,7 @@
 #include "Node/AnnouncementOrder.h"
 #include "Node/NodeRow.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 
 using namespace Berylport;
@@ -135,6 +136,54 @@
     EXPECT_FALSE(order.isConfirmed(start + 9s));
 }
 
+namespace {
+
+TargetAnnouncement withService(TargetAnnouncement announcement, std::string_view service)
+{
+    announcement.service = ServiceName(service);
+    return announcement;
+}
+
+AnnouncementOrder makeOrderThatKnows(std::vector<std::string> services)
+{
+    return AnnouncementOrder({ .isKnownService = [services = std::move(services)](const ServiceName& service) {
+        return std::ranges::find(services, service.text) != services.end();
+    } });
+}
+
+} // namespace
+
+// One announcement of another writer took the target out of use for good.
+TEST(AnnouncementOrder, AnotherServiceOfTheSameStartTakesNothingOver)
+{
+    auto order = makeOrderThatKnows({ "slotdesk", "quotesvc" });
+    order.classify(makeAnnouncement("i-1", 100, 4), start);
+    for (auto* it : { "no-such-service", "quotesvc" }) {
+        auto stray = withService(makeAnnouncement("i-1", 100, 900), it);
+        EXPECT_EQ(order.classify(stray, start + 1s), AnnouncementFreshness::Conflicting);
+    }
+    EXPECT_EQ(order.classify(makeAnnouncement("i-1", 100, 5), start + 2s), AnnouncementFreshness::Current);
+}
+
+TEST(AnnouncementOrder, ATargetOfAnUnknownServiceDoesNotDisplaceOneThatIsAlive)
+{
+    auto order = makeOrderThatKnows({ "slotdesk", "quotesvc" });
+    order.classify(makeAnnouncement("i-1", 100, 4), start);
+    auto stray = withService(makeAnnouncement("i-2", 900, 1), "no-such-service");
+    EXPECT_EQ(order.classify(stray, start + 1s), AnnouncementFreshness::Conflicting);
+    auto successor = withService(makeAnnouncement("i-3", 800, 1), "quotesvc");
+    EXPECT_EQ(order.classify(successor, start + 1s), AnnouncementFreshness::Current);
+    EXPECT_EQ(order.classify(stray, start + 9s), AnnouncementFreshness::Current);
+}
+
+// The other writer came first, before the configuration was known.
+TEST(AnnouncementOrder, AKnownServiceReplacesAnUnknownOneOfTheSameStart)
+{
+    auto order = makeOrderThatKnows({ "slotdesk" });
+    order.classify(withService(makeAnnouncement("i-1", 100, 1), "no-such-service"), start);
+    EXPECT_EQ(order.classify(makeAnnouncement("i-1", 100, 2), start + 1s), AnnouncementFreshness::Current);
+}
+
 TEST(NodeRow, RefusedRequestsAreKeptWithAndWithoutADeparture)
 {
     NodeRow row { .node = NodeId { 5 }, .gossip = { .address = "10.1.0.4", .port = 7600 } };
--- a/tests/Node/TargetTaskTest.cpp
+++ b/tests/Node/TargetTaskTest.cpp
@@ -72,3 +72,16 @@
     ASSERT_EQ(tell(makeAnnouncement(m_service, "i-1", 100, target, 4)), 200);
     EXPECT_TRUE(becomesReady(m_service, std::chrono::seconds(2)));
 }
+
+// An announcement of another writer displaced a sound target, and those of the target were refused from then on.
+TEST_F(TargetTaskTest, AnAnnouncementOfAnUnknownServiceDoesNotDisplaceATarget)
+{
+    startNode();
+    HeldTarget target(m_loop.base());
+    ASSERT_EQ(tell(makeAnnouncement(m_service, "i-1", 100, target, 4)), 200);
+    ASSERT_TRUE(waitUntilReady(m_service));
+    EXPECT_EQ(tell(makeAnnouncement(ServiceName("no-such-service"), "i-1", 100, target, 1'000'000)), 409);
+    EXPECT_EQ(tell(makeAnnouncement(m_service, "i-1", 100, target, 5)), 200);
+    offerCalls(m_service);
+    EXPECT_TRUE(runUntil([&] { return target.arrived() == firstLimit(); }));
+}
