Give up a silent link by the calls that wait on it

Cause: a link was given up after 5 s without a byte, whatever waited on it, which is beyond the deadline of every request.

LinkMonitor, without sockets or clock, pings a peer that owes replies and has not been heard for 250 ms, and gives the link up when the ping has no answer within eight round trips, 400 ms at the least. Own stalls do not count, a slow target answers pings, a link at rest costs what it did. A link that is given up is opened again, and what was written on it is queried there, as before.

PeerLinkTest.CallsOnASilentLinkAreGivenUpSoon failed before (nothing within 60 s).

--- a/Source/Node/LinkTask.cpp
+++ b/Source/Node/LinkTask.cpp
@@ -13,7 +13,8 @@
 constexpr Duration confirmationTimeout = std::chrono::milliseconds(500);
 
 // A ping exchange takes about 256 bytes. At the PeerLink default of 500 ms, 64 links in each direction would send three
-// times the 11 KB/s that a node may spend on control traffic.
+// times the 11 KB/s that a node may spend on control traffic. Links with calls that wait are pinged sooner, unless they
+// are heard.
 PeerLinkPoolOptions makeLinksOptions()
 {
     PeerLinkPoolOptions options;
--- a/Source/Peer/PeerLink.cpp
+++ b/Source/Peer/PeerLink.cpp
@@ -3,7 +3,7 @@
 
 #include "Loop/FdWatcher.h"
 #include "Loop/Timer.h"
-#include "Peer/InactivityMonitor.h"
+#include "Peer/LinkMonitor.h"
 #include "Peer/PeerCodec.h"
 #include "Peer/PeerConnection.h"
 #include "Peer/Sockets.h"
@@ -20,6 +20,9 @@
 
 namespace {
 
+// Between two checks only a request with a large body writes this much.
+constexpr uint64_t largeWrite = 64 * 1024;
+
 template <typename Reply> const AttemptId& attemptOf(const Reply& reply)
 {
     return std::visit([](const auto& it) -> const AttemptId& { return it.id; }, reply);
@@ -45,7 +48,8 @@
         , m_address(std::move(address))
         , m_options(options)
         , m_events(std::move(events))
-        , m_inactivity(options.pingInterval, steadyNow())
+        , m_monitor(
+              { .pingInterval = options.pingInterval, .inactivityTimeout = options.inactivityTimeout }, steadyNow())
         , m_connectTimer(loop, [this] { closeNow(PeerError::ConnectTimeout); })
         , m_pingTimer(loop, [this] { onPingTimer(); })
     {
@@ -98,6 +102,7 @@
     void sendHello();
     void onHelloReply(Schema::HelloReply::Reader);
     void open();
+    void startOwing();
     void onPingTimer();
     void sendPing();
     void closeNow(PeerError);
@@ -123,9 +128,9 @@
     int m_connectingFd { -1 };
     std::unique_ptr<FdWatcher> m_connectWatcher;
 
-    InactivityMonitor m_inactivity;
+    LinkMonitor m_monitor;
     uint64_t m_bytesAtLastCheck { 0 };
-    bool m_isPingOutstanding { false };
+    uint64_t m_bytesWrittenAtLastCheck { 0 };
     // The peer's clock in its last ping response, and the local time at which that response arrived.
     Instant m_echoedClock;
     Instant m_echoReceivedAt;
@@ -224,9 +229,13 @@
         return;
     m_state = State::Open;
     m_connectTimer.stop();
-    m_pingTimer.startPeriodic(m_options.pingInterval);
+    m_monitor = LinkMonitor(
+        { .pingInterval = m_options.pingInterval, .inactivityTimeout = m_options.inactivityTimeout }, steadyNow());
+    m_pingTimer.startAt(m_monitor.nextCheck());
     // Sent before the first call, so that the peer can convert the call's deadline to its own clock.
     sendPing();
+    if (!m_queuedCalls.empty())
+        startOwing();
     for (const auto& it : std::exchange(m_queuedCalls, {}))
         transmit(it);
     for (auto& [key, request] : m_requests)
@@ -235,29 +244,43 @@
         postCallback(m_events.opened);
 }
 
+// The first call without a reply: the peer is to be heard soon.
+void PeerLink::Private::startOwing()
+{
+    m_monitor.recordOwed(steadyNow());
+    m_pingTimer.startAt(m_monitor.nextCheck());
+}
+
 void PeerLink::Private::onPingTimer()
 {
-    uint64_t bytes = bytesRead();
-    // A ping response may be queued behind a large reply, so any received byte counts as activity.
-    if (bytes != std::exchange(m_bytesAtLastCheck, bytes))
-        m_inactivity.recordActivity();
-    if (m_inactivity.update(steadyNow()) >= m_options.inactivityTimeout) {
+    Instant now = steadyNow();
+    uint64_t read = bytesRead();
+    uint64_t written = bytesWritten();
+    // A ping response may be queued behind a large reply, so any received byte counts as activity. A ping may be queued
+    // behind a large request, of which a silent peer takes no more than its buffers hold.
+    bool isHeard = read != std::exchange(m_bytesAtLastCheck, read);
+    isHeard |= written - std::exchange(m_bytesWrittenAtLastCheck, written) >= largeWrite;
+    if (isHeard)
+        m_monitor.recordHeard(now);
+    auto step = m_monitor.check(now, !m_calls.empty());
+    if (step == LinkMonitor::Step::Close) {
         closeNow(PeerError::PingTimeout);
         return;
     }
-    if (!m_isPingOutstanding)
+    if (step == LinkMonitor::Step::Ping)
         sendPing();
+    m_pingTimer.startAt(m_monitor.nextCheck());
 }
 
 void PeerLink::Private::sendPing()
 {
-    m_isPingOutstanding = true;
+    m_monitor.recordPing(steadyNow());
     auto request = m_remote->pingRequest();
     request.setEchoedClock(toMicroseconds(m_echoedClock));
     request.setEchoReceivedAt(toMicroseconds(m_echoReceivedAt));
     request.setClock(toMicroseconds(steadyNow()));
     m_tasks->add(request.send().then([this](capnp::Response<Schema::Peer::PingResults>&& response) {
-        m_isPingOutstanding = false;
+        m_monitor.recordPingReply(steadyNow());
         auto clock = readClock(response.getClock());
         if (!clock) {
             closeLater(PeerError::Malformed);
@@ -338,10 +361,13 @@
             [completion = std::move(completion), result = CallNotSent { id, *refusal }] { completion(result); });
         return;
     }
+    bool wasOwed = !m_calls.empty();
     m_calls.emplace(id, Call { .completion = std::move(completion) });
-    if (m_state == State::Open)
+    if (m_state == State::Open) {
+        if (!wasOwed)
+            startOwing();
         transmit(request);
-    else
+    } else
         m_queuedCalls.push_back(std::move(request));
 }
 
@@ -385,6 +411,8 @@
         return;
     auto completion = std::move(it->second.completion);
     m_calls.erase(it);
+    m_bytesAtLastCheck = bytesRead();
+    m_monitor.recordHeard(steadyNow());
     postCallback(
         [completion = std::move(completion), result = std::move(result)]() mutable { completion(std::move(result)); });
 }
--- a/Source/Peer/PeerLink.h
+++ b/Source/Peer/PeerLink.h
@@ -37,7 +37,7 @@
     // Covers the TCP connect and the hello handshake.
     Duration connectTimeout { std::chrono::milliseconds(500) };
     Duration pingInterval { std::chrono::milliseconds(500) };
-    // A link on which nothing is received for this long is closed.
+    // A link on which nothing is received for this long is closed; LinkMonitor closes one with calls sooner.
     Duration inactivityTimeout { std::chrono::seconds(3) };
     // Twice the size of the largest response with its headers.
     size_t maximumMessageBytes { 9 * 1024 * 1024 };
--- a/tests/Peer/PeerLinkTest.cpp
+++ b/tests/Peer/PeerLinkTest.cpp
@@ -281,6 +281,37 @@
     EXPECT_EQ(link->peer(), b);
 }
 
+// Calls waited five seconds on a link that carried nothing any more.
+TEST_F(PeerLinkTest, CallsOnASilentLinkAreGivenUpSoon)
+{
+    TestNode node(loop, b);
+    Relay relay(loop, node.endpoint);
+    PeerLinkOptions options = longTimeoutLinkOptions();
+    auto link = connect({ .node = b, .endpoint = relay.endpoint }, options);
+    ASSERT_TRUE(runUntil([&] { return openedCount == 1; }));
+    relay.pause();
+    Instant sentAt = steadyNow();
+    link->send(createCall(a, 1, b), results.completion(1));
+    ASSERT_TRUE(runUntil([&] { return results.bySequence.size() == 1; }));
+    EXPECT_LT(steadyNow() - sentAt, options.inactivityTimeout / 2);
+    EXPECT_EQ(closeReasons, std::vector { PeerError::PingTimeout });
+    EXPECT_TRUE(results.isLinkLost(1));
+}
+
+// Guards against a target that works for long being taken for a silent link.
+TEST_F(PeerLinkTest, ASlowCallKeepsItsLink)
+{
+    TestNode node(loop, b);
+    auto link = connect(node.address(), longTimeoutLinkOptions());
+    link->send(createCall(a, 1, b), results.completion(1));
+    ASSERT_TRUE(runUntil([&] { return node.handler.pending.size() == 1; }));
+    loop.runUntil([&] { return !closeReasons.empty(); }, 1500ms);
+    EXPECT_TRUE(closeReasons.empty());
+    node.handler.pending[0].reply(createAnswer(node.handler.pending[0].request, "ok"));
+    ASSERT_TRUE(runUntil([&] { return results.bySequence.size() == 1; }));
+    EXPECT_EQ(results.body(1), "ok");
+}
+
 // Fails when a stopped peer keeps its link, and with it the calls sent to it, for ever.
 TEST_F(PeerLinkTest, PeerThatStopsAnsweringIsClosedByPings)
 {
