--- a/tests/Http/HttpServerTest.cpp
+++ b/tests/Http/HttpServerTest.cpp
@@ -644,17 +644,27 @@
     EXPECT_EQ(0u, m_server->connectionCount());
 }
 
+class StopDuringAnswerTest : public HttpServerTest {
+protected:
+    // A connection whose answer is being written when the server begins to drain.
+    RawSocket stopDuringAnswer()
+    {
+        m_isAnswering = false;
+        start();
+        auto socket = connect();
+        socket.send(get(""));
+        EXPECT_TRUE(runUntil([&] { return m_received.size() == 1; }));
+        answerWith(std::string(beyondSocketBuffers, 'x'));
+        turn();
+        m_server->closeAfterAnswers();
+        return socket;
+    }
+};
+
 // The request behind an answer that was being written when a stop began was read and never answered.
-TEST_F(HttpServerTest, AStopServesTheRequestBehindAnAnswerThatIsBeingWritten)
+TEST_F(StopDuringAnswerTest, AStopServesTheRequestBehindAnAnswerThatIsBeingWritten)
 {
-    m_isAnswering = false;
-    start();
-    auto socket = connect();
-    socket.send(get(""));
-    ASSERT_TRUE(runUntil([&] { return m_received.size() == 1; }));
-    answerWith(std::string(beyondSocketBuffers, 'x'));
-    turn();
-    m_server->closeAfterAnswers();
+    auto socket = stopDuringAnswer();
     socket.send(get(""));
     ASSERT_TRUE(runUntil([&] { return m_received.size() == 2 || socket.isAtEnd(); }));
     ASSERT_EQ(m_received.size(), 2u);
@@ -667,16 +677,9 @@
 }
 
 // The same connection stayed open for ever when no request came.
-TEST_F(HttpServerTest, AStopClosesAConnectionOnceItsAnswerIsWritten)
+TEST_F(StopDuringAnswerTest, AStopClosesAConnectionOnceItsAnswerIsWritten)
 {
-    m_isAnswering = false;
-    start();
-    auto socket = connect();
-    socket.send(get(""));
-    ASSERT_TRUE(runUntil([&] { return m_received.size() == 1; }));
-    answerWith(std::string(beyondSocketBuffers, 'x'));
-    turn();
-    m_server->closeAfterAnswers();
+    auto socket = stopDuringAnswer();
     ASSERT_TRUE(waitForEnd(socket));
     EXPECT_FALSE(socket.wasReset());
     EXPECT_EQ(countOf(socket.received(), "x"), beyondSocketBuffers);
