Limit the starts at a cold target

Callers saw targets end that had come back cold and got all their calls at once.

Cause: the warm-up of a target lowered its weight with senders only; nothing limited what all senders together start.

ColdLimiter, beside RequestLimiter, allows as many starts in any second as the service tolerates while the target says that it is cold. Starts are recorded while it is warm, so the second before counts. Only services that name a bound are affected.

--- a/Source/Admission/AdmissionController.cpp
+++ b/Source/Admission/AdmissionController.cpp
@@ -23,6 +23,7 @@
     : m_options(std::move(options))
     , m_slots(m_options.slots)
     , m_queue(m_tenants)
+    , m_coldLimiter(m_options.processStart)
     , m_ledger(m_options.ledger)
 {
     m_concurrency.setSlots(m_slots);
@@ -102,8 +103,12 @@
 std::optional<Instant> AdmissionController::nextWake() const
 {
     auto wake = m_queue.earliestDeadline();
-    bool waitsForLimit = wake && m_limiter.limit() && canRunMore();
-    return waitsForLimit ? std::min(*wake, m_limiter.nextStartAt()) : wake;
+    if (!wake || !canRunMore())
+        return wake;
+    Instant limitsEndAt = m_coldLimiter.nextStartAt();
+    if (m_limiter.limit())
+        limitsEndAt = std::max(limitsEndAt, m_limiter.nextStartAt());
+    return limitsEndAt == Instant() ? wake : std::min(*wake, limitsEndAt);
 }
 
 uint16_t AdmissionController::limit() const
@@ -138,12 +143,23 @@
 
 Duration AdmissionController::estimateQueueWait(Instant now, size_t calls) const
 {
-    return std::max(estimateWaitForSlots(calls), m_limiter.waitFor(calls, now));
+    return std::max(estimateWaitForSlots(calls), waitForLimits(calls, now));
 }
 
-Duration AdmissionController::startInterval() const { return std::max(estimateWaitForSlots(1), m_limiter.interval()); }
+Duration AdmissionController::waitForLimits(size_t calls, Instant now) const
+{
+    return std::max(m_limiter.waitFor(calls, now), m_coldLimiter.waitFor(calls, now));
+}
 
-bool AdmissionController::isServiceRateKnown() const { return m_serviceTime.isKnown() || m_limiter.limit(); }
+Duration AdmissionController::startInterval(Instant now) const
+{
+    return std::max({ estimateWaitForSlots(1), m_limiter.interval(), m_coldLimiter.interval(now) });
+}
+
+bool AdmissionController::isServiceRateKnown(Instant now) const
+{
+    return m_serviceTime.isKnown() || m_limiter.limit() || m_coldLimiter.isInForce(now);
+}
 
 // Without an objective, or with one at the deadline or later, calls cannot miss the objective before they expire.
 bool AdmissionController::hasObjective(const CallRequest& request)
@@ -153,7 +169,7 @@
 
 bool AdmissionController::canMeetObjective(Instant now, const CallRequest& request) const
 {
-    if (!hasObjective(request) || !isServiceRateKnown())
+    if (!hasObjective(request) || !isServiceRateKnown(now))
         return true;
     Duration wait = estimateQueueWait(now, m_queue.countAhead(request.tenant, request.priority) + 1);
     return now + wait + expectedServiceTime(now, request) <= request.objective;
@@ -231,7 +247,7 @@
 {
     auto load = static_cast<double>(m_running + m_queue.size());
     double slots = limit();
-    bool isLimited = !m_limiter.mayStart(now);
+    bool isLimited = !doLimitsAllowStart(now);
     if (isLimited)
         load = std::max(load, slots);
     bool isFull = isLimited || m_running >= slots;
@@ -243,7 +259,7 @@
 // free slot the estimate is ignored: an overestimate would otherwise refuse all calls and never be corrected.
 bool AdmissionController::wouldMissDeadline(Instant now, const CallRequest& request) const
 {
-    if (canStart(now) || !isServiceRateKnown())
+    if (canStart(now) || !isServiceRateKnown(now))
         return false;
     Duration wait = estimateQueueWait(now, m_queue.countAhead(request.tenant, request.priority) + 1);
     return now + wait + conservativeServiceTime(now, request) > request.deadline;
@@ -255,7 +271,7 @@
     return takesWork && m_pauseGate.isOpen() && m_running < limit();
 }
 
-bool AdmissionController::canStart(Instant now) const { return canRunMore() && m_limiter.mayStart(now); }
+bool AdmissionController::canStart(Instant now) const { return canRunMore() && doLimitsAllowStart(now); }
 
 // The preceding tick has started every queued call that could start, so the queue is empty when a slot is free.
 void AdmissionController::admit(Instant now, LinkId link, CallRequest request, AdmissionActions& actions)
@@ -274,8 +290,11 @@
     m_ledger.addRequester(entry, { .link = link, .requestedId = request.id });
     if (startsNow)
         start(now, entry, std::move(request), actions);
-    else
+    else {
+        if (canRunMore() && !m_coldLimiter.mayStart(now))
+            ++m_coldDelays;
         m_queue.push(std::move(request));
+    }
 }
 
 // Slots plus queue positions, divided by the number of tenants with a running or queued call.
@@ -351,6 +370,7 @@
     m_tenants.incrementRunning(entry.tenant);
     m_running++;
     m_limiter.recordStart(now);
+    m_coldLimiter.recordStart(now);
     m_loadIntegrator.setRunning(m_running, now);
     m_runningCalls[request.id] = { .route = request.route,
         .startSnapshot = m_loadIntegrator.snapshot(now),
@@ -487,6 +507,7 @@
     if (!entry)
         return;
     m_limiter.revokeStart(now);
+    m_coldLimiter.revokeStart(std::get<AttemptRunning>(entry->state).startedAt);
     m_tenants.decrementRunning(entry->tenant);
     refuse(now, *entry, RefusalReason::ConnectFailed, actions);
     tick(now, actions);
@@ -541,8 +562,8 @@
     Duration drainTime = estimateWaitForSlots(m_queue.size() + 1);
     Duration wait = reason == RefusalReason::TenantOverShare ? drainTime : drainTime / 2;
     // Before that, the request limit would only refuse the call again.
-    wait = std::max(wait, m_limiter.waitFor(m_queue.size() + 1, now));
-    m_nextRetryAt = std::max(m_nextRetryAt + startInterval(), now + wait);
+    wait = std::max(wait, waitForLimits(m_queue.size() + 1, now));
+    m_nextRetryAt = std::max(m_nextRetryAt + startInterval(now), now + wait);
     m_nextRetryAt = std::min(m_nextRetryAt, now + maximumRetryAfter);
     return m_nextRetryAt - now;
 }
@@ -626,8 +647,8 @@
         .serviceTime = m_serviceTime.average(),
         .slownessPercent = m_slownessPercent,
         .isWarmingUp = m_state == TargetState::Ready && now < m_warmUntil,
-        .startWait = m_limiter.waitFor(m_queue.size() + 1, now),
-        .startInterval = m_limiter.interval(),
+        .startWait = waitForLimits(m_queue.size() + 1, now),
+        .startInterval = std::max(m_limiter.interval(), m_coldLimiter.interval(now)),
     };
 }
 
--- a/Source/Admission/AdmissionController.h
+++ b/Source/Admission/AdmissionController.h
@@ -4,6 +4,7 @@
 #include "Admission/AdmissionAction.h"
 #include "Admission/CallLedger.h"
 #include "Admission/CallQueue.h"
+#include "Admission/ColdLimiter.h"
 #include "Admission/ConcurrencyLimit.h"
 #include "Admission/LoadIntegrator.h"
 #include "Admission/PauseGate.h"
@@ -25,6 +26,8 @@
     // Bodies of queued requests; at 1 MiB a request the queue limit alone would allow gigabytes.
     size_t maximumQueuedBytes { 32 * 1024 * 1024 };
     LedgerOptions ledger {};
+    // Start of the node's process; see ColdLimiter. The zero instant if no process preceded it.
+    Instant processStart {};
     // Enables the adaptive concurrency limit: runs fewer calls at once than slots where that raises throughput.
     bool adaptsConcurrency { false };
     // A VM slower than its long-term mean by this factor refuses calls that the sender may send to another target.
@@ -74,6 +77,11 @@
     // The target is another process, which has named no limit yet.
     void resetRequestLimit() { m_limiter.reset(); }
     const RequestLimiter& requestLimiter() const { return m_limiter; }
+    // Bound of the requests that a cold target gets; see ColdLimiter. Changes take effect with the next tick.
+    ColdLimiter& coldLimiter() { return m_coldLimiter; }
+    const ColdLimiter& coldLimiter() const { return m_coldLimiter; }
+    // Starts that had to wait for the bound of a cold target although a slot was free.
+    uint64_t coldDelays() const { return m_coldDelays; }
     // The node shuts down: new calls are refused from now on, regardless of the target's state.
     void drain(Instant now, AdmissionActions&);
     // While the node's configuration may be older than an accepted one, new calls are refused; admitted calls continue.
@@ -126,7 +134,7 @@
     std::optional<RefusalReason> findStateRefusal() const;
     bool isVmSlow() const;
     bool isBusierThanOthers(Instant now, const CallRequest&) const;
-    bool isServiceRateKnown() const;
+    bool isServiceRateKnown(Instant now) const;
     bool wouldMissDeadline(Instant now, const CallRequest&) const;
     static bool hasObjective(const CallRequest&);
     // Whether the call can be answered within its objective behind those that wait.
@@ -138,14 +146,17 @@
     // Time until the given number of further calls may have started.
     Duration estimateQueueWait(Instant now, size_t calls) const;
     // Mean time between two starts while calls wait.
-    Duration startInterval() const;
+    Duration startInterval(Instant now) const;
     // Calls that may run at once.
     uint16_t limit() const;
     std::optional<RefusalReason> reserveQueuePosition(Instant now, const CallRequest&, AdmissionActions&);
     uint32_t fairShare(const TenantName&) const;
     void admit(Instant now, LinkId, CallRequest, AdmissionActions&);
-    // A slot is free for another call, whether or not the request limit lets one start.
+    // A slot is free for another call, whether or not the limits below let one start.
     bool canRunMore() const;
+    // The request limit, and the bound while the target is cold.
+    bool doLimitsAllowStart(Instant now) const { return m_limiter.mayStart(now) && m_coldLimiter.mayStart(now); }
+    Duration waitForLimits(size_t calls, Instant now) const;
     bool canStart(Instant now) const;
     void startQueued(Instant now, AdmissionActions&);
     void startOrRefuse(Instant now, CallRequest, AdmissionActions&);
@@ -193,6 +204,8 @@
     std::unordered_map<AttemptId, RunningCall> m_runningCalls;
     PauseGate m_pauseGate;
     RequestLimiter m_limiter;
+    ColdLimiter m_coldLimiter;
+    uint64_t m_coldDelays { 0 };
     CallLedger m_ledger;
 };
 
--- a/Source/Log/EventCatalogue.cpp
+++ b/Source/Log/EventCatalogue.cpp
@@ -47,6 +47,9 @@
     { Event::TargetEnded, Level::Warning, "target-ended",
         "The target's process ended while it ran the calls counted; `end` names this end in the log of each caller's "
         "node." },
+    { Event::TargetCold, Level::Info, "target-cold",
+        "A target on this VM says that it is cold; its starts are limited to what its service tolerates." },
+    { Event::TargetWarm, Level::Info, "target-warm", "A target on this VM is no longer cold." },
     { Event::RequestRejected, Level::Info, "request-rejected",
         "A caller's request was malformed, ambiguous or too large." },
     { Event::CallerConnectionLimit, Level::Warning, "caller-connection-limit",
--- a/Source/Log/EventCatalogue.h
+++ b/Source/Log/EventCatalogue.h
@@ -56,6 +56,8 @@
     TargetLimitChanged = 118,
     TargetLimitMalformed = 119,
     TargetEnded = 120,
+    TargetCold = 121,
+    TargetWarm = 122,
 
     RequestRejected = 201,
     CallerConnectionLimit = 202,
--- a/Source/Node/CallerAnswers.h
+++ b/Source/Node/CallerAnswers.h
@@ -28,6 +28,7 @@
 constexpr std::string_view load = "Berylport-Load";
 constexpr std::string_view requestLimit = "Berylport-Request-Limit";
 constexpr std::string_view leaving = "Berylport-Leaving";
+constexpr std::string_view coldTime = "Berylport-Cold-Ms";
 // Request id chosen by the caller.
 constexpr std::string_view requestId = "Berylport-Request-Id";
 } // namespace Header
--- a/Source/Node/Dialect.h
+++ b/Source/Node/Dialect.h
@@ -39,6 +39,8 @@
     bool isRequestLimitMalformed { false };
     // The target shuts down and must receive no new calls.
     bool isLeaving { false };
+    // How much longer the target is cold; only in responses of its health path. Empty if it names no time.
+    std::optional<Duration> coldFor {};
     // Instance id of the target that answered; empty if the response does not name it.
     std::string instance {};
 };
@@ -47,6 +49,8 @@
 std::optional<ReportedLoad> parseReportedLoad(std::string_view);
 // Sets the request limit of the report from a decimal number of at least zero.
 void readRequestLimit(TargetReport&, std::string_view text);
+// Sets the cold time of the report from whole milliseconds. A longer time than ten minutes is not believed.
+void readColdTime(TargetReport&, std::string_view text);
 
 // The target is shutting down and must receive no new calls.
 struct TargetWithdrawal {
--- a/Source/Node/LocalTarget.cpp
+++ b/Source/Node/LocalTarget.cpp
@@ -23,12 +23,12 @@
     std::erase_if(m_callbacks, [&](auto& entry) { return entry.first.link == link; });
 }
 
-LocalTarget::LocalTarget(
-    event_base* eventBase, NodeId self, const ServiceName& name, const TargetSection& section, Instant now)
+LocalTarget::LocalTarget(event_base* eventBase, NodeId self, const ServiceName& name, const TargetSection& section,
+    Instant now, Instant processStart)
     : base(eventBase)
     , settings(section)
     , service(name)
-    , admission({ .self = self, .service = name, .adaptsConcurrency = true })
+    , admission({ .self = self, .service = name, .processStart = processStart, .adaptsConcurrency = true })
     , probe({}, now)
 {
 }
--- a/Source/Node/LocalTarget.h
+++ b/Source/Node/LocalTarget.h
@@ -43,7 +43,9 @@
 };
 
 struct LocalTarget {
-    LocalTarget(event_base*, NodeId self, const ServiceName&, const TargetSection&, Instant now);
+    // processStart as in AdmissionOptions.
+    LocalTarget(
+        event_base*, NodeId self, const ServiceName&, const TargetSection&, Instant now, Instant processStart = {});
 
     // Creates the client for the address of the target; called when the address is first known and when it changes.
     void connect(const Endpoint&, bool allowsCloseDelimitedAnswers);
@@ -75,6 +77,10 @@
     std::string healthPath { "/health" };
     TargetProbe probe;
     bool isProbing { false };
+    Instant lastProbeAt;
+    // The service names a bound for cold targets, and whether the target was cold at its latest health answer.
+    bool hasColdBound { false };
+    bool isCold { false };
     // Time of the newest call that arrived for the target, and of the newest report of its load.
     Instant lastOfferAt;
     Instant lastLoadReportAt;
--- a/Source/Node/NativeDialect.cpp
+++ b/Source/Node/NativeDialect.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::string_view announcePath = "/announce";
 constexpr std::string_view withdrawPrefix = "/announce?service=";
+constexpr int64_t maximumColdMilliseconds = 600'000;
 
 } // namespace
 
@@ -43,6 +44,15 @@
         report.isRequestLimitMalformed = true;
 }
 
+void readColdTime(TargetReport& report, std::string_view text)
+{
+    int64_t n = 0;
+    auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
+    bool isRead = ec == std::errc() && end == text.data() + text.size();
+    if (isRead && n >= 0 && n <= maximumColdMilliseconds)
+        report.coldFor = std::chrono::milliseconds(n);
+}
+
 Result<CallerRequest, EntryRefusal> NativeDialect::readCaller(const HttpRequest& request) const
 {
     return readCallerRequest(request);
@@ -66,6 +76,8 @@
     if (auto limit = findHeader(response.headers, Header::requestLimit))
         readRequestLimit(report, *limit);
     report.isLeaving = findHeader(response.headers, Header::leaving) == "1";
+    if (auto cold = findHeader(response.headers, Header::coldTime))
+        readColdTime(report, *cold);
     return report;
 }
 
--- a/Source/Node/TargetTask.cpp
+++ b/Source/Node/TargetTask.cpp
@@ -19,6 +19,9 @@
 // The load of a target is polled until this long after the last call that arrived for it.
 constexpr Duration loadReadWindow = std::chrono::seconds(1);
 constexpr Duration probeTimeout = std::chrono::milliseconds(500);
+// The health of a target that may become cold is read this often while calls arrive. Between two reads a target that
+// has become cold gets what it would get warm, at most a few calls.
+constexpr Duration coldReadInterval = std::chrono::milliseconds(100);
 
 // A target waits about one second for the response to its announcement. If the store takes longer than this, the
 // departure is acknowledged anyway; this process enforces it even if it was not persisted.
@@ -136,8 +139,10 @@
     auto& target = m_targets[service];
     if (target)
         return *target;
+    // At the first start of the whole system no process has preceded this one.
+    Instant processStart = m_context.settings.node.isFirstStart ? Instant() : m_context.status.startedAt;
     target = std::make_unique<LocalTarget>(
-        m_context.loop.base(), m_context.self, service, m_context.settings.target, steadyNow());
+        m_context.loop.base(), m_context.self, service, m_context.settings.target, steadyNow(), processStart);
     target->areDeparturesKnown = m_areDeparturesKnown;
     for (LinkId it : m_links)
         target->admission.linkOpened(it);
@@ -308,8 +313,11 @@
     if (!m_catalogue->routes)
         return;
     for (auto& it : m_catalogue->routes->configuration().services) {
-        if (it.name == target.service)
-            target.healthPath = it.healthPath;
+        if (it.name != target.service)
+            continue;
+        target.healthPath = it.healthPath;
+        target.hasColdBound = it.coldRequestsPerSecond > 0;
+        target.admission.coldLimiter().setBound(it.coldRequestsPerSecond, it.coldTime);
     }
 }
 
@@ -484,9 +492,12 @@
     target.announcedAt = now;
     target.isUnconfirmed = !m_order.isConfirmed(now);
     target.isRefusing = false;
+    if (announcement.coldFor > Duration::zero())
+        target.admission.coldLimiter().extendColdFor(announcement.coldFor, now);
     if (isOtherProcess) {
         target.connect(announcement.endpoint, dialect().allowsCloseDelimitedAnswers());
         target.admission.resetRequestLimit();
+        target.admission.coldLimiter().assumeCold(now);
         target.admission.setWarmUpEnd(now + announcement.coldFor);
         target.firstAnswerDeadline = now + firstAnswerTimeout;
         wakeBy(*target.firstAnswerDeadline);
@@ -805,12 +816,16 @@
     }
 }
 
+bool TargetTask::isFromOtherTarget(const LocalTarget& target, const TargetReport& report)
+{
+    return !report.instance.empty() && target.announcement && !target.announcement->instance.empty()
+        && report.instance != target.announcement->instance;
+}
+
 TargetReport TargetTask::recordReport(LocalTarget& target, const HttpResponse& response, Instant sentAt, Instant now)
 {
     auto report = dialect().readTargetAnswer(response);
-    bool isFromOther = !report.instance.empty() && target.announcement && !target.announcement->instance.empty()
-        && report.instance != target.announcement->instance;
-    if (isFromOther)
+    if (isFromOtherTarget(target, report))
         return report;
     if (report.load) {
         target.lastLoadReportAt = now;
@@ -858,19 +873,48 @@
     perform(target, actions);
 }
 
+void TargetTask::recordColdTime(LocalTarget& target, const TargetReport& report)
+{
+    if (!target.hasColdBound || isFromOtherTarget(target, report))
+        return;
+    Instant now = steadyNow();
+    ColdLimiter& limiter = target.admission.coldLimiter();
+    limiter.setColdFor(report.coldFor.value_or(Duration::zero()), now);
+    bool isCold = limiter.isInForce(now);
+    if (isCold == std::exchange(target.isCold, isCold))
+        return;
+    logEvent(isCold ? Event::TargetCold : Event::TargetWarm,
+        { { "service", target.service.text },
+            { "instance", target.announcement ? target.announcement->instance : std::string() },
+            { "cold_ms", std::to_string(toMilliseconds(report.coldFor.value_or(Duration::zero()))) },
+            { "delayed_starts", std::to_string(target.admission.coldDelays()) } });
+    MetricKey key { .name = "berylport_target_cold", .labelName = "service", .labelValue = target.service.text };
+    m_context.metrics.set(key, isCold ? 1 : 0);
+    key.name = "berylport_cold_delayed_starts";
+    m_context.metrics.set(key, static_cast<double>(target.admission.coldDelays()));
+}
+
 std::optional<Instant> TargetTask::nextLoadRead(const LocalTarget& target, Instant now) const
 {
     uint32_t rate = m_context.settings.measure.loadReadsPerSecond;
-    bool isReadable = rate && target.client && target.announcement && target.lastLoadReportAt != Instant();
-    // Such a target has no requests to spare for measurements.
-    isReadable &= !target.admission.requestLimiter().limit();
-    if (!isReadable || now - target.lastOfferAt >= loadReadWindow)
+    bool isReadable = target.client && target.announcement && now - target.lastOfferAt < loadReadWindow;
+    if (!isReadable)
         return std::nullopt;
-    return target.lastLoadReportAt + std::chrono::microseconds(std::chrono::seconds(1)) / rate;
+    std::optional<Instant> due;
+    // Only the health path tells that a target has become cold, however many answers report its load.
+    if (target.hasColdBound)
+        due = target.lastProbeAt + coldReadInterval;
+    // A target that limits requests has none to spare for reads of its load.
+    if (rate && target.lastLoadReportAt != Instant() && !target.admission.requestLimiter().limit()) {
+        Instant loadDue = target.lastLoadReportAt + std::chrono::microseconds(std::chrono::seconds(1)) / rate;
+        due = std::min(due.value_or(loadDue), loadDue);
+    }
+    return due;
 }
 
 void TargetTask::probe(LocalTarget& target, Instant now)
 {
+    target.lastProbeAt = now;
     target.probe.noteReadStarted(now, target.admission.requestLimiter().interval() * requestsPerProbe);
     target.admission.recordProbe(now);
     target.isProbing = true;
@@ -882,7 +926,7 @@
             auto* response = std::get_if<HttpResponse>(&result);
             HealthResult health = HealthResult::Unreadable;
             if (response) {
-                recordReport(target, *response, now, steadyNow());
+                recordColdTime(target, recordReport(target, *response, now, steadyNow()));
                 health = response->status == 200 ? HealthResult::Good : HealthResult::Bad;
             }
             target.probe.noteHealth(health, steadyNow());
--- a/Source/Node/TargetTask.h
+++ b/Source/Node/TargetTask.h
@@ -90,6 +90,10 @@
     // Applies what an answer of the target tells about the target itself. Returns the report.
     TargetReport recordReport(LocalTarget&, const HttpResponse&, Instant sentAt, Instant now);
     void recordRequestLimit(LocalTarget&, const TargetReport&, Instant sentAt, Instant now);
+    // Takes over what the target's health path says of its being cold.
+    void recordColdTime(LocalTarget&, const TargetReport&);
+    // Another process has answered on the target's address.
+    static bool isFromOtherTarget(const LocalTarget&, const TargetReport&);
     void beginDeparture(LocalTarget&);
     void endFirstAnswerWait(LocalTarget&);
     // When to poll the load of the target, including the slowness of its VM, again; nothing while no calls arrive for
--- a/Source/Traffic/TrafficConfiguration.h
+++ b/Source/Traffic/TrafficConfiguration.h
@@ -44,6 +44,10 @@
     std::string healthPath { "/health" };
     // Connections that one target accepts from all callers.
     uint32_t maximumConnections { 250 };
+    // Requests per second that a cold target tolerates from all nodes together; zero if it tolerates any number.
+    double coldRequestsPerSecond { 0 };
+    // How long a target is cold after its start.
+    Duration coldTime {};
     bool operator==(const TrafficService&) const = default;
 };
 
