Send nothing to the targets of an evacuated zone

The set of evacuated zones is read with the configuration, and travels by gossip beside the confirmation of the configuration. The set of the highest era and version holds. Senders treat targets of the zone as draining, and the target's node refuses new and waiting calls as not run. Systems that never evacuated a zone tell each other nothing.

--- a/Source/Admission/AdmissionController.cpp
+++ b/Source/Admission/AdmissionController.cpp
@@ -59,6 +59,13 @@
     tick(now, actions);
 }
 
+void AdmissionController::setZoneEvacuated(Instant now, bool isEvacuated, AdmissionActions& actions)
+{
+    m_isZoneEvacuated = isEvacuated;
+    if (isEvacuated)
+        refuseAllQueued(now, RefusalReason::ZoneEvacuated, actions);
+}
+
 void AdmissionController::stop(Instant now, AdmissionActions& actions)
 {
     m_isNodeDraining = true;
@@ -231,6 +238,8 @@
 {
     if (m_isNodeDraining || m_state == TargetState::Draining)
         return RefusalReason::Draining;
+    if (m_isZoneEvacuated)
+        return RefusalReason::ZoneEvacuated;
     if (!m_isConfirmed)
         return RefusalReason::Unconfirmed;
     if (m_state != TargetState::Ready || !m_definition || !m_slots)
--- a/Source/Admission/AdmissionController.h
+++ b/Source/Admission/AdmissionController.h
@@ -84,6 +84,8 @@
     uint64_t coldDelays() const { return m_coldDelays; }
     // The node shuts down: new calls are refused from now on, regardless of the target's state.
     void drain(Instant now, AdmissionActions&);
+    // Operators have evacuated the zone, or have taken that back. Running calls continue.
+    void setZoneEvacuated(Instant now, bool isEvacuated, AdmissionActions&);
     // While the node's configuration may be older than an accepted one, new calls are refused; admitted calls continue.
     void setConfigurationConfirmed(bool isConfirmed) { m_isConfirmed = isConfirmed; }
 
@@ -180,6 +182,8 @@
     TargetState m_state { TargetState::Starting };
     bool m_isNodeDraining { false };
     bool m_isConfirmed { true };
+    // Nothing waits while set.
+    bool m_isZoneEvacuated { false };
     uint16_t m_slots;
     // Equal to the number of ledger entries that are running.
     uint32_t m_running { 0 };
--- a/Source/Base/Base.h
+++ b/Source/Base/Base.h
@@ -3,6 +3,7 @@
 
 #include "Base/CallMessages.h"
 #include "Base/ConfigurationDelta.h"
+#include "Base/EvacuatedZones.h"
 #include "Base/GossipMessages.h"
 #include "Base/HttpMessage.h"
 #include "Base/Identifiers.h"
--- a/Source/Base/CallMessages.cpp
+++ b/Source/Base/CallMessages.cpp
@@ -50,6 +50,8 @@
         return "beside-suspect";
     case RefusalReason::EndsTargets:
         return "ends-targets";
+    case RefusalReason::ZoneEvacuated:
+        return "zone-evacuated";
     }
     return "unknown";
 }
--- a/Source/Base/CallMessages.h
+++ b/Source/Base/CallMessages.h
@@ -124,6 +124,8 @@
     BesideSuspect,
     // Too many targets have ended under this request.
     EndsTargets,
+    // An operator has evacuated the zone of the target.
+    ZoneEvacuated,
 };
 
 std::string_view toText(RefusalReason);
--- a/Source/Base/GossipMessages.h
+++ b/Source/Base/GossipMessages.h
@@ -1,6 +1,7 @@
 // What nodes tell each other by datagram: probes, member records, digests.
 #pragma once
 
+#include "Base/EvacuatedZones.h"
 #include "Base/Identifiers.h"
 #include "Base/SuspectRecord.h"
 #include "Base/TargetRecord.h"
@@ -100,6 +101,8 @@
     uint64_t storeEra { 0 };
     // Of the configuration version in the sender's own record.
     std::optional<SourceConfirmation> confirmation {};
+    // Covered by the confirmation above. Absent while no zone was evacuated.
+    std::optional<EvacuatedZones> evacuation {};
     // Requests under which targets ended, and a digest of all that the sender knows; zero if it knows none.
     std::vector<SuspectRecord> suspects {};
     uint64_t suspectDigest { 0 };
--- a/Source/Calls/CallCoordinator.cpp
+++ b/Source/Calls/CallCoordinator.cpp
@@ -25,7 +25,7 @@
 bool refusesAllCalls(RefusalReason reason)
 {
     return reason == RefusalReason::Draining || reason == RefusalReason::NoTarget || reason == RefusalReason::WrongNode
-        || reason == RefusalReason::Unconfirmed;
+        || reason == RefusalReason::Unconfirmed || reason == RefusalReason::ZoneEvacuated;
 }
 
 } // namespace
--- a/Source/Configuration/Configuration.h
+++ b/Source/Configuration/Configuration.h
@@ -5,4 +5,5 @@
 #include "Configuration/ConfigurationCoordinator.h"
 #include "Configuration/ConfigurationStore.h"
 #include "Configuration/ConfirmationGuard.h"
+#include "Configuration/EvacuationTracker.h"
 #include "Configuration/SourceFollower.h"
--- a/Source/Log/EventCatalogue.cpp
+++ b/Source/Log/EventCatalogue.cpp
@@ -117,6 +117,8 @@
         "This node follows the operators' configuration in the store for the nodes around it." },
     { Event::SourceNotFollowed, Level::Info, "source-not-followed",
         "This node relies on other nodes to follow the operators' configuration." },
+    { Event::ZonesEvacuated, Level::Info, "zones-evacuated",
+        "The set of evacuated zones has changed; targets of the zones named get no new calls." },
     { Event::ActionAccepted, Level::Debug, "action-accepted", "A patient action is durable." },
     { Event::ActionDone, Level::Debug, "action-done", "A patient action has run and its result is durable." },
     { Event::ActionInDoubt, Level::Error, "action-in-doubt",
--- a/Source/Log/EventCatalogue.h
+++ b/Source/Log/EventCatalogue.h
@@ -105,6 +105,7 @@
     ConfigurationHistoryLost = 710,
     SourceFollowed = 711,
     SourceNotFollowed = 712,
+    ZonesEvacuated = 713,
 
     ActionAccepted = 801,
     ActionDone = 802,
--- a/Source/Membership/MembershipService.cpp
+++ b/Source/Membership/MembershipService.cpp
@@ -40,6 +40,14 @@
     return n;
 }
 
+size_t estimateBytes(const EvacuatedZones& evacuation)
+{
+    size_t n = 32;
+    for (auto& it : evacuation.zones)
+        n += 10 + it.text.size();
+    return n;
+}
+
 MembershipService::MembershipService(const MembershipOptions& options, MemberRecord self, uint64_t seed, Instant now)
     : m_options(options)
     , m_table(options.table, std::move(self), now)
@@ -169,6 +177,8 @@
     }
     if (content.coordinator)
         learnCoordinator(*content.coordinator, actions);
+    if (content.evacuation && content.evacuation != m_evacuation)
+        actions.push_back(EvacuationLearned { .evacuation = *content.evacuation });
     if (content.storeEra <= m_storeEra)
         return;
     m_storeEra = content.storeEra;
@@ -520,6 +530,7 @@
         // Sequence number zero acknowledges no probe.
         GossipAck message { .sequence = 0, .sender = m_table.self().node, .content = {} };
         message.content.storeEra = m_storeEra;
+        message.content.evacuation = m_evacuation;
         message.content.confirmation = m_confirmation;
         message.content.records.push_back(m_table.self());
         actions.push_back(SendGossip { .to = m_table.find(it)->record.gossip, .message = std::move(message) });
@@ -611,10 +622,11 @@
 {
     GossipContent content;
     content.storeEra = m_storeEra;
+    content.evacuation = m_evacuation;
     content.confirmation = m_confirmation;
     content.suspectDigest = m_suspects ? m_suspects->digest() : 0;
     content.records.push_back(m_table.self());
-    size_t bytes = estimateBytes(m_table.self());
+    size_t bytes = estimateBytes(m_table.self()) + (m_evacuation ? estimateBytes(*m_evacuation) : 0);
     auto append = [&](const MemberRecord& record) {
         bytes += estimateBytes(record);
         content.records.push_back(record);
@@ -708,6 +720,16 @@
         sendOwnRecord(it, actions);
 }
 
+void MembershipService::setEvacuation(std::optional<EvacuatedZones> evacuation, MembershipActions& actions)
+{
+    bool isNewSet = evacuation && (!m_evacuation || m_evacuation->zones != evacuation->zones);
+    m_evacuation = std::move(evacuation);
+    if (!isNewSet)
+        return;
+    for (NodeId it : sample(m_table.presentNodes(), m_options.updateFanout))
+        sendOwnRecord(it, actions);
+}
+
 void MembershipService::setDeparted(const TargetIncarnation& departed, MembershipActions& actions)
 {
     if (m_table.self().departed == departed)
--- a/Source/Membership/MembershipService.h
+++ b/Source/Membership/MembershipService.h
@@ -64,6 +64,11 @@
     uint64_t era { 0 };
 };
 
+// A member tells another set of evacuated zones than this node does.
+struct EvacuationLearned {
+    EvacuatedZones evacuation;
+};
+
 struct CoordinatorLearned {
     CoordinatorInfo coordinator;
 };
@@ -74,7 +79,7 @@
 };
 
 using MembershipAction = std::variant<SendGossip, MemberEvent, MembersChanged, DeclaredDead, ContactChanged,
-    PeerVersionSeen, StoreEraLearned, CoordinatorLearned, PredecessorDepartureLearned>;
+    PeerVersionSeen, StoreEraLearned, EvacuationLearned, CoordinatorLearned, PredecessorDepartureLearned>;
 using MembershipActions = std::vector<MembershipAction>;
 
 struct MembershipOptions {
@@ -146,6 +151,8 @@
     void announceConfirmation(MembershipActions&);
     // Every message carries the latest era known.
     void setStoreEra(uint64_t era) { m_storeEra = std::max(m_storeEra, era); }
+    // What the members are told; a few of them at once.
+    void setEvacuation(std::optional<EvacuatedZones>, MembershipActions&);
     // Keeps the table equal to those of the other members. It must outlive this object.
     void shareSuspects(SuspectTable& table) { m_suspects = &table; }
     // Tells others of what has changed in the table.
@@ -249,6 +256,7 @@
     std::optional<MemberRecord> m_deadSenderRecord;
     std::optional<TargetIncarnation> m_predecessorDeparture;
     uint64_t m_storeEra { 0 };
+    std::optional<EvacuatedZones> m_evacuation;
     std::optional<SourceConfirmation> m_confirmation;
     SuspectTable* m_suspects { nullptr };
     Instant m_nextSuspectExchange;
--- a/Source/Node/ConfigurationTask.h
+++ b/Source/Node/ConfigurationTask.h
@@ -31,6 +31,7 @@
     void handle(PauseNoticed&&) { }
     // The native table keeps what it has acknowledged.
     void handle(StoreEraSeen&&) { }
+    void handle(EvacuationSeen&&) { }
     void handle(ConfigurationFetched&&);
     void handle(ConfigurationFetchFailed&&);
     void handle(ZoneMembersChanged&&);
--- a/Source/Node/DirectoryTask.cpp
+++ b/Source/Node/DirectoryTask.cpp
@@ -152,6 +152,7 @@
         m_rows.storeAnswered(steadyNow());
         tickRows();
         noteEra(snapshot.value().position.era);
+        applyEvacuation(snapshot.value());
         if (snapshot.value().document)
             applyDocument(*snapshot.value().document, "store");
         m_follower.sourceAnswered(number, snapshot.value().position, steadyNow(), actions);
@@ -203,6 +204,39 @@
     m_context.ports.membership.post(ConfigurationVersionApplied { .version = version });
 }
 
+void DirectoryTask::applyEvacuation(const ConfigurationSnapshot& snapshot)
+{
+    auto [era, version] = snapshot.position;
+    bool hasChanged = snapshot.evacuatedZones ? m_evacuation.sourceRead(era, version, *snapshot.evacuatedZones)
+                                              : m_evacuation.sourceChanged(era, version, snapshot.evacuationChanges);
+    publishEvacuation(hasChanged, "store");
+}
+
+void DirectoryTask::publishEvacuation(bool hasChanged, std::string_view origin)
+{
+    auto report = m_evacuation.report();
+    if (report == m_reportedEvacuation && !hasChanged)
+        return;
+    m_reportedEvacuation = report;
+    const EvacuatedZones& held = m_evacuation.held();
+    if (hasChanged) {
+        std::string names;
+        for (auto& it : held.zones)
+            names += (names.empty() ? "" : ",") + it.text;
+        logEvent(Event::ZonesEvacuated,
+            { { "zones", names }, { "version", std::to_string(held.version) }, { "source", std::string(origin) } });
+        m_context.metrics.set("berylport_evacuated_zones", static_cast<double>(held.zones.size()));
+        m_context.ports.target.post(
+            ZoneEvacuationChanged { .isEvacuated = held.contains(m_context.settings.node.zone) });
+    }
+    m_context.ports.membership.post(EvacuationChanged { .evacuation = held, .isShared = report.has_value() });
+}
+
+void DirectoryTask::handle(EvacuationSeen&& seen)
+{
+    publishEvacuation(m_evacuation.peerReported(seen.evacuation), "peer");
+}
+
 void DirectoryTask::handle(PeerVersion&& seen)
 {
     std::vector<FollowerAction> actions;
--- a/Source/Node/DirectoryTask.h
+++ b/Source/Node/DirectoryTask.h
@@ -22,6 +22,7 @@
     // --- handlers of messages from other tasks
     void handle(PeerVersion&&);
     void handle(StoreEraSeen&&);
+    void handle(EvacuationSeen&&);
     void handle(PauseNoticed&&);
     void handle(ConfigurationFetched&&);
     void handle(ConfigurationFetchFailed&&);
@@ -42,6 +43,9 @@
     // Milliseconds, for logs.
     std::string confirmationAge() const;
     void applyDocument(std::string document, std::string_view origin);
+    void applyEvacuation(const ConfigurationSnapshot&);
+    // Passes the held set on if it has changed, or if the members are to be told.
+    void publishEvacuation(bool hasChanged, std::string_view origin);
 
     // --- row of this node and seeds
     void perform(std::vector<RowAction>&);
@@ -66,6 +70,8 @@
     Mailbox<ConfigurationMessage> m_mailbox;
     SharedStore m_store;
     SourceFollower m_follower;
+    EvacuationTracker m_evacuation;
+    std::optional<EvacuatedZones> m_reportedEvacuation;
     std::optional<SourceConfirmation> m_publishedConfirmation;
     bool m_isFollowing { false };
     Timer m_timer;
--- a/Source/Node/MembershipTask.cpp
+++ b/Source/Node/MembershipTask.cpp
@@ -148,6 +148,15 @@
 
 void MembershipTask::handle(StoreEraSeen&& seen) { m_service.setStoreEra(seen.era); }
 
+void MembershipTask::handle(EvacuationChanged&& message)
+{
+    m_hasChanges |= message.evacuation.zones != m_context.status.evacuation.zones;
+    m_context.status.evacuation = message.evacuation;
+    MembershipActions actions;
+    m_service.setEvacuation(message.isShared ? std::optional(std::move(message.evacuation)) : std::nullopt, actions);
+    perform(actions);
+}
+
 void MembershipTask::handle(SuspectsChanged&&)
 {
     MembershipActions actions;
@@ -222,6 +231,11 @@
     m_context.ports.configuration.post(StoreEraSeen { .era = learned.era });
 }
 
+void MembershipTask::perform(EvacuationLearned&& learned)
+{
+    m_context.ports.configuration.post(EvacuationSeen { .evacuation = std::move(learned.evacuation) });
+}
+
 void MembershipTask::perform(CoordinatorLearned&&)
 {
     // Nothing to do: the membership service itself uses this information when a version changes.
@@ -248,6 +262,11 @@
     std::ranges::sort(members, {}, &MemberRecord::node);
     m_context.status.members = std::move(members);
     m_context.status.targets = m_service.targets();
+    // Senders treat the targets of an evacuated zone like those that leave.
+    for (auto& it : m_context.status.targets) {
+        if (m_context.status.evacuation.contains(it.zone) && it.state == TargetState::Ready)
+            it.state = TargetState::Draining;
+    }
     m_context.ports.link.post(std::move(peers));
     m_context.ports.entry.post(TargetsChanged { .targets = m_context.status.targets });
     m_context.ports.configuration.post(
--- a/Source/Node/MembershipTask.h
+++ b/Source/Node/MembershipTask.h
@@ -23,6 +23,7 @@
     void handle(SeedsFound&&);
     void handle(ReplicateDeparture&&);
     void handle(StoreEraSeen&&);
+    void handle(EvacuationChanged&&);
     void handle(SuspectsChanged&&);
     void handle(MembershipRefreshRequested&&);
     void handle(BeginDrain&&);
@@ -35,6 +36,7 @@
     void perform(ContactChanged&&);
     void perform(PeerVersionSeen&&);
     void perform(StoreEraLearned&&);
+    void perform(EvacuationLearned&&);
     void perform(CoordinatorLearned&&);
     void perform(PredecessorDepartureLearned&&);
     void publishMembers();
--- a/Source/Node/NodeAdapter.h
+++ b/Source/Node/NodeAdapter.h
@@ -49,6 +49,10 @@
     // Absent if the document has not changed since the requested position, or was never written.
     std::optional<std::string> document;
     SourcePosition position;
+    // All evacuated zones; absent in the answer to a long poll.
+    std::optional<std::vector<ZoneName>> evacuatedZones {};
+    // Since the position of the long poll, in order.
+    std::vector<EvacuationChange> evacuationChanges {};
 };
 
 class ConfigurationSource {
--- a/Source/Node/NodeContext.h
+++ b/Source/Node/NodeContext.h
@@ -39,6 +39,8 @@
     uint64_t configurationVersion { 0 };
     std::vector<MemberRecord> members;
     std::vector<TargetRecord> targets;
+    // Zones whose targets get no calls. Written by the membership task as it publishes the targets.
+    EvacuatedZones evacuation;
     CataloguePointer catalogue;
     // Owned by the configuration task; null while the task is not running.
     const ConfigurationStore* configuration { nullptr };
--- a/Source/Node/NodeMessages.h
+++ b/Source/Node/NodeMessages.h
@@ -76,6 +76,10 @@
 struct ServingChanged {
     GuardState state { GuardState::Unconfirmed };
 };
+// Operators have evacuated the zone of this node, or have taken that back.
+struct ZoneEvacuationChanged {
+    bool isEvacuated { false };
+};
 struct ParentFound {
     CallId child;
     Result<NestedCallBudget, RefusalReason> allowance;
@@ -127,7 +131,8 @@
 };
 
 using TargetMessage = std::variant<OfferCall, CancelCall, QueryCall, LinkOpened, LinkClosed, LinkConfirmed, FindParent,
-    ReturnRetryTokens, DrainTarget, CatalogueChanged, ServingChanged, DepartureRestored, BeginDrain, EndCalls>;
+    ReturnRetryTokens, DrainTarget, CatalogueChanged, ServingChanged, ZoneEvacuationChanged, DepartureRestored,
+    BeginDrain, EndCalls>;
 
 // --- to the link task
 
@@ -200,14 +205,19 @@
 struct StoreEraSeen {
     uint64_t era { 0 };
 };
+// The zones that operators have evacuated, as this node holds them. The members are told only if `isShared`.
+struct EvacuationChanged {
+    EvacuatedZones evacuation;
+    bool isShared { false };
+};
 // This node has learned something new about requests under which targets end; the table of suspects holds it.
 struct SuspectsChanged { };
 // A call found no target while the member view may be incomplete.
 struct MembershipRefreshRequested { };
 
 using MembershipMessage = std::variant<TargetsAnnounced, ConfigurationVersionApplied, ConfigurationConfirmed,
-    CoordinatorLeaseAcquired, RemindMembers, SeedsFound, ReplicateDeparture, StoreEraSeen, SuspectsChanged,
-    MembershipRefreshRequested, BeginDrain>;
+    CoordinatorLeaseAcquired, RemindMembers, SeedsFound, ReplicateDeparture, StoreEraSeen, EvacuationChanged,
+    SuspectsChanged, MembershipRefreshRequested, BeginDrain>;
 
 // --- to the configuration task
 
@@ -263,13 +273,18 @@
     std::function<void(bool isDone)> done;
 };
 
+// A member tells another set of evacuated zones than this node does.
+struct EvacuationSeen {
+    EvacuatedZones evacuation;
+};
+
 // Persists the departure of a target, so that a later process of this node knows it.
 struct RecordDeparture {
     TargetIncarnation departed;
     std::function<void()> done;
 };
 
-using ConfigurationMessage = std::variant<PeerVersion, PauseNoticed, StoreEraSeen, RecordDeparture,
+using ConfigurationMessage = std::variant<PeerVersion, PauseNoticed, StoreEraSeen, EvacuationSeen, RecordDeparture,
     ConfigurationFetched, ConfigurationFetchFailed, ZoneMembersChanged, ZoneMemberLeft, SelfDeclaredDead,
     ConnectivityChanged, OperatorChange, ListZones, RetireZone, BeginDrain>;
 
--- a/Source/Node/TargetTask.cpp
+++ b/Source/Node/TargetTask.cpp
@@ -117,6 +117,7 @@
         throw std::runtime_error("cannot listen for local targets on " + toText(m_context.settings.listen.local) + ": "
             + std::string(toText(endpoint.error())));
     m_context.ports.target.attach(&m_mailbox);
+    m_isZoneEvacuated = m_context.status.evacuation.contains(m_context.settings.node.zone);
     m_nextCheck = steadyNow();
     wake();
 }
@@ -150,10 +151,10 @@
     if (definition != m_catalogue->services.end())
         applyDefinition(*target, definition->second);
     target->admission.setConfigurationConfirmed(m_context.status.guard == GuardState::Confirmed);
-    if (m_isDraining) {
-        AdmissionActions actions;
-        target->admission.drain(steadyNow(), actions);
-    }
+    AdmissionActions none;
+    target->admission.setZoneEvacuated(steadyNow(), m_isZoneEvacuated, none);
+    if (m_isDraining)
+        target->admission.drain(steadyNow(), none);
     return *target;
 }
 
@@ -327,6 +328,14 @@
         target->admission.setConfigurationConfirmed(message.state == GuardState::Confirmed);
 }
 
+void TargetTask::handle(ZoneEvacuationChanged&& message)
+{
+    m_isZoneEvacuated = message.isEvacuated;
+    forEach([&](LocalTarget& target, AdmissionActions& actions) {
+        target.admission.setZoneEvacuated(steadyNow(), m_isZoneEvacuated, actions);
+    });
+}
+
 void TargetTask::handle(BeginDrain&&)
 {
     m_isDraining = true;
--- a/Source/Node/TargetTask.h
+++ b/Source/Node/TargetTask.h
@@ -41,6 +41,7 @@
     void handle(DrainTarget&&);
     void handle(CatalogueChanged&&);
     void handle(ServingChanged&&);
+    void handle(ZoneEvacuationChanged&&);
     void handle(DepartureRestored&&);
     void handle(BeginDrain&&);
     void handle(EndCalls&&);
@@ -117,6 +118,8 @@
     // Number of process pauses of this node. The admission controllers of the targets number the same pauses
     // independently.
     uint64_t m_pauseNumber { 0 };
+    // Operators have evacuated the zone of this node.
+    bool m_isZoneEvacuated { false };
     bool m_isDraining { false };
     // Ends of targets seen by this process.
     uint64_t m_targetEnds { 0 };
--- a/Source/Peer/GossipCodec.cpp
+++ b/Source/Peer/GossipCodec.cpp
@@ -202,6 +202,26 @@
         writeSuspect(suspects[i++], it, now);
 }
 
+void writeEvacuation(Schema::Evacuation::Builder builder, const EvacuatedZones& evacuation)
+{
+    builder.setEra(evacuation.era);
+    builder.setVersion(evacuation.version);
+    auto zones = builder.initZones(static_cast<unsigned>(evacuation.zones.size()));
+    unsigned i = 0;
+    for (auto& it : evacuation.zones)
+        zones.set(i++, textOf(it.text));
+}
+
+EvacuatedZones readEvacuation(Schema::Evacuation::Reader reader)
+{
+    EvacuatedZones evacuation { .era = reader.getEra(), .version = reader.getVersion() };
+    require(reader.getZones().size() <= maximumEvacuatedZones, "too many evacuated zones");
+    for (auto it : reader.getZones())
+        evacuation.zones.emplace_back(std::string(it.begin(), it.size()));
+    require(std::ranges::is_sorted(evacuation.zones), "unsorted evacuated zones");
+    return evacuation;
+}
+
 void writeContent(Schema::GossipMessage::Builder builder, const GossipContent& content, Instant now)
 {
     if (!content.records.empty()) {
@@ -218,6 +238,8 @@
         builder.setRequestedBuckets(kj::arrayPtr(buckets.data(), buckets.size()));
     }
     builder.setStoreEra(content.storeEra);
+    if (content.evacuation)
+        writeEvacuation(builder.initEvacuation(), *content.evacuation);
     writeSuspects(builder, content, now);
     if (content.confirmation)
         writeConfirmation(builder, *content.confirmation, now);
@@ -238,6 +260,8 @@
         content.records.push_back(readRecord(it));
     readDepartures(reader, content.records);
     content.storeEra = reader.getStoreEra();
+    if (reader.hasEvacuation())
+        content.evacuation = readEvacuation(reader.getEvacuation());
     content.suspectDigest = reader.getSuspectDigest();
     require(reader.getSuspects().size() <= maximumSuspects, "too many suspects");
     for (auto it : reader.getSuspects())
--- a/Source/Peer/PeerCodec.cpp
+++ b/Source/Peer/PeerCodec.cpp
@@ -36,6 +36,8 @@
 static_assert(static_cast<int>(Schema::RequestKind::PATIENT) == static_cast<int>(RequestKind::Patient));
 static_assert(static_cast<int>(Schema::Priority::BULK) == static_cast<int>(Priority::Bulk));
 static_assert(static_cast<int>(Schema::RefusalReason::ENDS_TARGETS) == static_cast<int>(RefusalReason::EndsTargets));
+static_assert(
+    static_cast<int>(Schema::RefusalReason::ZONE_EVACUATED) == static_cast<int>(RefusalReason::ZoneEvacuated));
 static_assert(static_cast<int>(Schema::RefusalReason::DRAINING) == static_cast<int>(RefusalReason::Draining));
 static_assert(static_cast<int>(Schema::LossReason::ANSWER_DROPPED) == static_cast<int>(LossReason::AnswerDropped));
 
@@ -190,7 +192,7 @@
 {
     CallRefused reply;
     reply.id = id;
-    reply.reason = readEnum(reader.getReason(), RefusalReason::EndsTargets);
+    reply.reason = readEnum(reader.getReason(), RefusalReason::ZoneEvacuated);
     uint64_t retryAfter = reader.getRetryAfterMicroseconds();
     require(retryAfter <= static_cast<uint64_t>(maximumRetryAfter.count()), "retry-after out of range");
     reply.retryAfter = Duration(static_cast<int64_t>(retryAfter));
--- a/Source/Schema/Generated/Gossip.capnp.h
+++ b/Source/Schema/Generated/Gossip.capnp.h
@@ -5,9 +5,6 @@
 
 #include <capnp/generated-header-support.h>
 #include <kj/windows-sanity.h>
-#if !CAPNP_LITE
-#include <capnp/capability.h>
-#endif  // !CAPNP_LITE
 
 #if CAPNP_VERSION != 9002
 #error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
@@ -41,6 +38,7 @@
 CAPNP_DECLARE_SCHEMA(ae4fd4c47c5e62a7);
 CAPNP_DECLARE_SCHEMA(92eee3003d0de855);
 CAPNP_DECLARE_SCHEMA(f0bbaec662a3d1c8);
+CAPNP_DECLARE_SCHEMA(b4aa08f77c318a5f);
 CAPNP_DECLARE_SCHEMA(b510e4f7c5a5ca63);
 CAPNP_DECLARE_SCHEMA(d2c7ff790a23e652);
 
@@ -144,6 +142,21 @@
   };
 };
 
+struct Evacuation {
+  Evacuation() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b4aa08f77c318a5f, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct GossipMessage {
   GossipMessage() = delete;
 
@@ -158,7 +171,7 @@
   struct PingRequest;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b510e4f7c5a5ca63, 7, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(b510e4f7c5a5ca63, 7, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -173,7 +186,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d2c7ff790a23e652, 7, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(d2c7ff790a23e652, 7, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -804,6 +817,98 @@
 };
 #endif  // !CAPNP_LITE
 
+class Evacuation::Reader {
+public:
+  typedef Evacuation Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getEra() const;
+
+  inline  ::uint64_t getVersion() const;
+
+  inline bool hasZones() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getZones() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Evacuation::Builder {
+public:
+  typedef Evacuation Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline bool hasZones();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getZones();
+  inline void setZones( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setZones(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initZones(unsigned int size);
+  inline void adoptZones(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownZones();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Evacuation::Pipeline {
+public:
+  typedef Evacuation Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class GossipMessage::Reader {
 public:
   typedef GossipMessage Reads;
@@ -863,6 +968,9 @@
 
   inline  ::uint64_t getSuspectDigest() const;
 
+  inline bool hasEvacuation() const;
+  inline  ::Berylport::Schema::Evacuation::Reader getEvacuation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -969,6 +1077,13 @@
   inline  ::uint64_t getSuspectDigest();
   inline void setSuspectDigest( ::uint64_t value);
 
+  inline bool hasEvacuation();
+  inline  ::Berylport::Schema::Evacuation::Builder getEvacuation();
+  inline void setEvacuation( ::Berylport::Schema::Evacuation::Reader value);
+  inline  ::Berylport::Schema::Evacuation::Builder initEvacuation();
+  inline void adoptEvacuation(::capnp::Orphan< ::Berylport::Schema::Evacuation>&& value);
+  inline ::capnp::Orphan< ::Berylport::Schema::Evacuation> disownEvacuation();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -988,6 +1103,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::Berylport::Schema::Coordinator::Pipeline getCoordinator();
+  inline  ::Berylport::Schema::Evacuation::Pipeline getEvacuation();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1701,6 +1817,72 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value, 4294967295u);
 }
 
+inline  ::uint64_t Evacuation::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Evacuation::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Evacuation::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Evacuation::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Evacuation::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Evacuation::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Evacuation::Reader::hasZones() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Evacuation::Builder::hasZones() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Evacuation::Reader::getZones() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Evacuation::Builder::getZones() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Evacuation::Builder::setZones( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void Evacuation::Builder::setZones(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Evacuation::Builder::initZones(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Evacuation::Builder::adoptZones(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Evacuation::Builder::disownZones() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::Berylport::Schema::GossipMessage::Which GossipMessage::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
@@ -2100,6 +2282,45 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool GossipMessage::Reader::hasEvacuation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipMessage::Builder::hasEvacuation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Berylport::Schema::Evacuation::Reader GossipMessage::Reader::getEvacuation() const {
+  return ::capnp::_::PointerHelpers< ::Berylport::Schema::Evacuation>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::Berylport::Schema::Evacuation::Builder GossipMessage::Builder::getEvacuation() {
+  return ::capnp::_::PointerHelpers< ::Berylport::Schema::Evacuation>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Berylport::Schema::Evacuation::Pipeline GossipMessage::Pipeline::getEvacuation() {
+  return  ::Berylport::Schema::Evacuation::Pipeline(_typeless.getPointerField(7));
+}
+#endif  // !CAPNP_LITE
+inline void GossipMessage::Builder::setEvacuation( ::Berylport::Schema::Evacuation::Reader value) {
+  ::capnp::_::PointerHelpers< ::Berylport::Schema::Evacuation>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::Berylport::Schema::Evacuation::Builder GossipMessage::Builder::initEvacuation() {
+  return ::capnp::_::PointerHelpers< ::Berylport::Schema::Evacuation>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void GossipMessage::Builder::adoptEvacuation(
+    ::capnp::Orphan< ::Berylport::Schema::Evacuation>&& value) {
+  ::capnp::_::PointerHelpers< ::Berylport::Schema::Evacuation>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Berylport::Schema::Evacuation> GossipMessage::Builder::disownEvacuation() {
+  return ::capnp::_::PointerHelpers< ::Berylport::Schema::Evacuation>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t GossipMessage::PingRequest::Reader::getTarget() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
--- a/Source/Schema/Gossip.capnp
+++ b/Source/Schema/Gossip.capnp
@@ -73,6 +73,14 @@
   goodEndMsAgo @4 :UInt32 = 0xffffffff;
 }
 
+# The zones that an operator has evacuated, as of a version of the shared store.
+struct Evacuation {
+  era @0 :UInt64;
+  version @1 :UInt64;
+  # At most 16, in ascending order.
+  zones @2 :List(Text);
+}
+
 struct GossipMessage {
   protocolVersion @0 :UInt16;
   sequence @1 :UInt64;
@@ -94,6 +102,8 @@
   suspects @15 :List(Suspect);
   # Over all suspects that the sender knows; zero for none.
   suspectDigest @16 :UInt64;
+  # Absent while no zone was evacuated.
+  evacuation @17 :Evacuation;
   union {
     ping @7 :Void;
     ack @8 :Void;
--- a/Source/Schema/Peer.capnp
+++ b/Source/Schema/Peer.capnp
@@ -42,6 +42,7 @@
   busyNow @16;
   besideSuspect @17;
   endsTargets @18;
+  zoneEvacuated @19;
 }
 
 enum LossReason {
--- a/tests/Admission/AdmissionControllerTest.cpp
+++ b/tests/Admission/AdmissionControllerTest.cpp
@@ -376,3 +376,26 @@
     bench.advance(std::chrono::seconds(10));
     EXPECT_FALSE(bench.controller->load(bench.now).isWarmingUp);
 }
+
+// Guards against calls that reach a target of a zone that operators have evacuated.
+TEST(ZoneEvacuation, NothingStartsAndWhatWaitsIsRefusedAtOnce)
+{
+    AdmissionBench bench({ .slots = 1 });
+    EXPECT_EQ(startsIn(bench.offer(attemptOf(1))).size(), 1u);
+    bench.offer(attemptOf(2));
+    bench.run([&] { bench.controller->setZoneEvacuated(bench.now, true, bench.actions); });
+    EXPECT_EQ(refusalsIn(bench.actions), std::vector { RefusalReason::ZoneEvacuated });
+    EXPECT_EQ(refusalsIn(bench.offer(attemptOf(3))), std::vector { RefusalReason::ZoneEvacuated });
+    // The running call ends as usual, and nothing follows it.
+    EXPECT_EQ(repliesIn<CallAnswered>(bench.answer(attemptOf(1))).size(), 1u);
+    EXPECT_TRUE(startsIn(bench.advance(std::chrono::seconds(1))).empty());
+}
+
+TEST(ZoneEvacuation, CallsStartAgainWhenItIsTakenBack)
+{
+    AdmissionBench bench;
+    bench.run([&] { bench.controller->setZoneEvacuated(bench.now, true, bench.actions); });
+    EXPECT_EQ(refusalsIn(bench.offer(attemptOf(1))).size(), 1u);
+    bench.run([&] { bench.controller->setZoneEvacuated(bench.now, false, bench.actions); });
+    EXPECT_EQ(startsIn(bench.offer(attemptOf(2))).size(), 1u);
+}
--- a/tests/Membership/MembershipServiceTest.cpp
+++ b/tests/Membership/MembershipServiceTest.cpp
@@ -268,3 +268,26 @@
         EXPECT_EQ(learned, n == 3 ? 0 : 1) << n;
     }
 }
+
+// Most nodes do not ask the store, so they learn of an evacuation from their peers.
+TEST(MembershipService, EveryMemberIsToldOfAnEvacuation)
+{
+    GossipNetwork network(12);
+    for (int n = 0; n < 12; ++n)
+        network.addNode(n % 2 ? "kandy-a" : "galle-a");
+    network.run(5s);
+    EvacuatedZones evacuation { .era = 0, .version = 812, .zones = { ZoneName("galle-a") } };
+    MembershipActions actions;
+    network.service(3).setEvacuation(evacuation, actions);
+    // Some at once, without waiting for a probe.
+    EXPECT_GE(std::ranges::count_if(actions, [](auto& it) { return std::holds_alternative<SendGossip>(it); }), 3);
+    network.run(10s);
+    for (size_t n = 0; n < network.size(); ++n) {
+        auto& events = network.node(n).events;
+        bool isSeen = std::ranges::any_of(events, [&](auto& it) {
+            auto* action = std::get_if<EvacuationLearned>(&it);
+            return action && action->evacuation == evacuation;
+        });
+        EXPECT_EQ(isSeen, n != 3) << n;
+    }
+}
--- a/tests/Peer/GossipSocketTest.cpp
+++ b/tests/Peer/GossipSocketTest.cpp
@@ -54,6 +54,8 @@
     full.digest = createDigest();
     full.requestedBuckets = { 0, 5, 63 };
     full.storeEra = 3;
+    full.evacuation
+        = EvacuatedZones { .era = 3, .version = 812, .zones = { ZoneName("galle-a"), ZoneName("kandy-a") } };
     full.coordinator = CoordinatorInfo { .zone = ZoneName("galle-a"), .fencingToken = 9, .node = NodeId { 4 } };
     full.records[1].departed
         = TargetIncarnation { .instance = "i-7f3a91c2", .startedAtMilliseconds = 1'700'000'000'123 };
--- a/tests/PlatformAdapter/FakeStore.h
+++ b/tests/PlatformAdapter/FakeStore.h
@@ -26,10 +26,11 @@
     // As the operator writes it.
     void write(const std::string& table, const std::string& key, const std::string& value)
     {
-        auto& row = m_rows[{ table, key }];
-        row = { .value = value, .version = ++m_version };
-        for (auto& it : std::exchange(m_followers, {}))
-            answerFeed(it.table, it.after, it.responder);
+        store(table, key, { .value = value, .version = ++m_version });
+    }
+    void remove(const std::string& table, const std::string& key)
+    {
+        store(table, key, { .value = {}, .version = ++m_version, .isRemoved = true });
     }
     std::string read(const std::string& table, const std::string& key) const
     {
@@ -59,6 +60,8 @@
     struct Row {
         std::string value;
         uint64_t version { 0 };
+        // Kept for the feed only.
+        bool isRemoved { false };
     };
     struct Follower {
         std::string table;
@@ -66,6 +69,13 @@
         Responder responder;
     };
 
+    void store(const std::string& table, const std::string& key, Row row)
+    {
+        m_rows[{ table, key }] = std::move(row);
+        for (auto& it : std::exchange(m_followers, {}))
+            answerFeed(it.table, it.after, it.responder);
+    }
+
     static std::string parameter(const std::string& target, const std::string& name)
     {
         size_t position = target.find(name + "=");
@@ -102,7 +112,7 @@
         else if (status)
             answer(responder, { .status = status });
         else if (request.target.starts_with("/-/rows-get"))
-            answerRows(parameter(request.target, "table-name"), parameter(request.target, "start-key"), responder);
+            answerRows(request.target, responder);
         else if (request.target.starts_with("/-/rows-feed"))
             answerFeed(parameter(request.target, "table-name"), number(parameter(request.target, "after")), responder);
         else if (request.target.starts_with("/-/rows-tx"))
@@ -135,7 +145,8 @@
         auto value
             = kj::encodeBase64(kj::arrayPtr(reinterpret_cast<const kj::byte*>(row.value.data()), row.value.size()));
         return R"({"table-name":)" + quote(table) + R"(,"part":"","key":)" + quote(key) + R"(,"value":")"
-            + std::string(value.begin(), value.size()) + R"(","schema-ver":)" + std::to_string(row.version) + "}";
+            + std::string(value.begin(), value.size()) + R"(","schema-ver":)" + std::to_string(row.version)
+            + (row.isRemoved ? R"(,"deleted":true})" : "}");
     }
 
     void answerPage(const std::string& rows, bool hasMore, const Responder& responder) const
@@ -146,12 +157,17 @@
                     + std::to_string(m_version) + R"(,"now-s":1.5})" });
     }
 
-    void answerRows(const std::string& table, const std::string& start, const Responder& responder) const
+    void answerRows(const std::string& target, const Responder& responder) const
     {
+        std::string table = parameter(target, "table-name");
+        std::string end = parameter(target, "&target");
         std::string rows;
         size_t count = 0;
-        for (auto it = m_rows.lower_bound({ table, start }); it != m_rows.end() && it->first.first == table; ++it) {
-            if (++count > page)
+        auto it = m_rows.lower_bound({ table, parameter(target, "start-key") });
+        for (; it != m_rows.end() && it->first.first == table; ++it) {
+            if (it->second.isRemoved)
+                continue;
+            if ((!end.empty() && it->first.second >= end) || ++count > page)
                 break;
             rows += (rows.empty() ? "" : ",") + encode(table, it->first.second, it->second);
         }
--- a/tests/PlatformAdapter/StoreTest.cpp
+++ b/tests/PlatformAdapter/StoreTest.cpp
@@ -176,3 +176,34 @@
     m_store.isSilent = true;
     EXPECT_EQ(read().error().code, StoreErrorCode::Timeout);
 }
+
+// A node that reads the configuration without the evacuated zones would send calls there after its start.
+TEST_F(StoreTest, ReadsTheEvacuatedZonesWithTheConfiguration)
+{
+    m_store.write("op", "config", "{\"version\":3}");
+    m_store.write("op", "evacuate/zone-b", "{}");
+    m_store.write("op", "evacuate/zone-a", "{}");
+    m_store.write("op", "evacuate/", "{}");
+    m_store.write("op", "freeze/zone-c", "{}");
+    auto snapshot = read().value();
+    EXPECT_TRUE(snapshot.document.has_value());
+    ASSERT_TRUE(snapshot.evacuatedZones.has_value());
+    EXPECT_EQ(*snapshot.evacuatedZones, (std::vector { ZoneName("zone-a"), ZoneName("zone-b") }));
+    m_store.remove("op", "evacuate/zone-b");
+    EXPECT_EQ(*read().value().evacuatedZones, std::vector { ZoneName("zone-a") });
+}
+
+TEST_F(StoreTest, AFeedTellsEvacuationsAndTheirEnd)
+{
+    m_store.write("op", "config", "{\"version\":3}");
+    auto position = read().value().position.version;
+    m_store.write("op", "evacuate/zone-a", "{}");
+    auto begun = follow(position).value();
+    EXPECT_FALSE(begun.document.has_value());
+    EXPECT_FALSE(begun.evacuatedZones.has_value());
+    EXPECT_EQ(begun.evacuationChanges,
+        (std::vector { EvacuationChange { .zone = ZoneName("zone-a"), .isEvacuated = true } }));
+    m_store.remove("op", "evacuate/zone-a");
+    EXPECT_EQ(follow(begun.position.version).value().evacuationChanges,
+        (std::vector { EvacuationChange { .zone = ZoneName("zone-a"), .isEvacuated = false } }));
+}
