Check callers' keys against the client accounts

A configuration with accounts asks for a key on routes that are not public; an unknown or removed one gets 401 when its request begins, also on an open connection. The target gets the account's name and never the key. An account's priority goes before the route's; downloads count as idempotent.

--- /dev/null
+++ b/Source/Accounts/Accounts.h
@@ -0,0 +1,4 @@
+// Public header of Accounts: who a caller is, by its key.
+#pragma once
+
+#include "Accounts/AccountTable.h"
--- a/Source/Node/CallerAnswers.cpp
+++ b/Source/Node/CallerAnswers.cpp
@@ -23,6 +23,8 @@
     case EntryRefusal::InvalidTimeout:
     case EntryRefusal::InvalidParent:
         return 400;
+    case EntryRefusal::UnknownKey:
+        return 401;
     case EntryRefusal::UnknownService:
     case EntryRefusal::NoRoute:
         return 404;
@@ -104,6 +106,8 @@
         return "patient-unavailable";
     case EntryRefusal::Stopping:
         return "stopping";
+    case EntryRefusal::UnknownKey:
+        return "unknown-key";
     }
     return "unknown";
 }
@@ -128,6 +132,8 @@
     HttpResponse response = makeSystemAnswer(status, RunOutcome::NotRun, toText(refusal));
     if (status == 503)
         dialect.setRetryAfter(response, unconfirmedRetryAfter);
+    if (status == 401)
+        setHeader(response.headers, Header::authenticate, "Bearer");
     return response;
 }
 
--- a/Source/Node/CallerAnswers.h
+++ b/Source/Node/CallerAnswers.h
@@ -23,6 +23,8 @@
 constexpr std::string_view deadline = "Berylport-Deadline-Ms";
 constexpr std::string_view idempotencyKey = "Idempotency-Key";
 constexpr std::string_view traceParent = "traceparent";
+constexpr std::string_view authorization = "Authorization";
+constexpr std::string_view authenticate = "WWW-Authenticate";
 // In responses of targets.
 constexpr std::string_view notRun = "Berylport-Not-Run";
 constexpr std::string_view load = "Berylport-Load";
@@ -47,6 +49,8 @@
     PatientUnavailable,
     // The process terminates before the request could be answered.
     Stopping,
+    // The caller names no key, or one that no account holds.
+    UnknownKey,
 };
 
 std::string_view toText(EntryRefusal);
--- a/Source/Node/Dialect.h
+++ b/Source/Node/Dialect.h
@@ -64,6 +64,9 @@
 
 using TargetMessageRead = std::variant<TargetAnnouncement, TargetWithdrawal, AnnouncementError, UnrelatedMessage>;
 
+// The key in "Authorization: Bearer KEY"; empty if there is none.
+std::optional<std::string_view> readBearerKey(const HttpRequest&);
+
 class Dialect {
 public:
     virtual ~Dialect() = default;
@@ -71,6 +74,11 @@
     virtual Result<CallerRequest, EntryRefusal> readCaller(const HttpRequest&) const = 0;
     // Removes the headers that are meant for this node only and adds those that tell the target about the caller.
     virtual void prepareForward(HttpRequest&, std::string_view originService) const = 0;
+    // The key by which a caller identifies its account; empty if it names none.
+    virtual std::optional<std::string_view> readKey(const HttpRequest&) const = 0;
+    // Removes the caller's key and tells the target on whose account the request runs, whatever the caller has sent;
+    // the name is empty if it runs on none.
+    virtual void setAccount(HttpRequest&, std::string_view name) const = 0;
     virtual void prepareForTarget(HttpRequest&, const TargetRequestContext&) const = 0;
     virtual TargetReport readTargetAnswer(const HttpResponse&) const = 0;
     // Tag that a target echoes in its response to this request.
--- a/Source/Node/DirectoryTask.cpp
+++ b/Source/Node/DirectoryTask.cpp
@@ -186,6 +186,8 @@
         // Whether a request may be retried is set by its route and carried in each request.
         catalogue->services[it.name] = { .name = it.name, .kind = RequestKind::Idempotent, .version = version };
     }
+    if (traffic->accounts)
+        catalogue->accounts = std::make_shared<AccountTable>(*std::exchange(traffic->accounts, std::nullopt));
     catalogue->routes = std::make_shared<RouteFinder>(std::make_shared<TrafficConfiguration>(std::move(*traffic)));
     auto& status = m_context.status;
     status.catalogue = catalogue;
--- a/Source/Node/EntryTask.cpp
+++ b/Source/Node/EntryTask.cpp
@@ -225,12 +225,17 @@
     const TrafficRoute* route = m_catalogue->routes->find(host, request.target);
     if (!route)
         return EntryRefusal::NoRoute;
+    auto found = findAccount(request, *route);
+    if (!found)
+        return found.error();
+    const ClientAccount* account = found.value();
+    uint32_t ownRank = account ? account->rank.value_or(route->rank) : route->rank;
     Instant expires = readAt + caller.timeout.value_or(route->timeout);
     m_nested.recordArrival(route->name, expires <= m_context.status.latestRunningDeadline + nestedCallTolerance);
     bool isNested = m_nested.isNested(route->name);
     // A nested call gets a higher priority, as its parent call is already running, and its result is useful until the
     // deadline.
-    uint32_t rank = isNested && route->rank ? route->rank - 1 : route->rank;
+    uint32_t rank = isNested && ownRank ? ownRank - 1 : ownRank;
     Duration objective = isNested ? route->timeout : route->latencyObjective;
     if (!isNested && caller.timeout)
         objective -= m_returning.recordArrival(route->name, *caller.timeout, readAt);
@@ -240,10 +245,26 @@
         .callerWait = route->timeout,
         .retryTokens = std::clamp<uint32_t>(route->maximumAttempts, 1, maximumAttempts) - 1 };
     return RequestPolicy {
-        .definition = std::move(definition), .objective = objective, .route = route->name, .isNested = isNested
+        .definition = std::move(definition),
+        .objective = objective,
+        .route = route->name,
+        .isNested = isNested,
+        .account = account ? account->name.text : std::string(),
     };
 }
 
+Result<const ClientAccount*, EntryRefusal> EntryTask::findAccount(
+    const HttpRequest& request, const TrafficRoute& route) const
+{
+    if (!m_catalogue->accounts)
+        return nullptr;
+    auto key = dialect().readKey(request);
+    const ClientAccount* account = key ? m_catalogue->accounts->find(*key) : nullptr;
+    if (!account && !route.isPublic)
+        return EntryRefusal::UnknownKey;
+    return account;
+}
+
 void EntryTask::startCall(
     const CallerRequest& request, const RequestPolicy& policy, HttpRequest http, Responder responder)
 {
@@ -256,10 +277,12 @@
     auto span = startSpan(*m_context.tracer, "call", parentSpan);
     span->SetTag("service", definition.name.text);
     dialect().prepareForward(http, m_context.settings.node.service);
+    if (m_catalogue->accounts)
+        dialect().setAccount(http, policy.account);
     CallId id { .origin = m_context.self, .sequence = ++m_lastSequence };
     StartCall call { .id = id,
         .definition = definition,
-        .tenant = request.tenant,
+        .tenant = policy.account.empty() ? request.tenant : TenantName(policy.account),
         .http = std::move(http),
         .deadline = readAt + wait,
         .objective = readAt + policy.objective,
--- a/Source/Node/EntryTask.h
+++ b/Source/Node/EntryTask.h
@@ -57,6 +57,8 @@
         std::string route;
         // The request was made by a target on behalf of a call that is already running.
         bool isNested { false };
+        // Empty if the request runs on no account.
+        std::string account {};
     };
 
     const Dialect& dialect() const { return *m_context.adapter.dialect; }
@@ -65,6 +67,8 @@
     bool mayRunConcurrently(const HttpRequest&) const;
     void requestArrived(HttpRequest, const Endpoint& peer, Responder);
     bool answerInternalPath(const HttpRequest&, const Responder&);
+    // The account of the caller's key; null if it needs none and names none.
+    Result<const ClientAccount*, EntryRefusal> findAccount(const HttpRequest&, const TrafficRoute&) const;
     Result<RequestPolicy, EntryRefusal> resolvePolicy(const CallerRequest&, const HttpRequest&, Instant readAt);
     void startCall(const CallerRequest&, const RequestPolicy&, HttpRequest, Responder);
     void updateRetryBudget();
--- a/Source/Node/NativeDialect.cpp
+++ b/Source/Node/NativeDialect.cpp
@@ -1,6 +1,8 @@
 // Parsing and formatting of the native headers and announcements.
 #include "Node/NativeDialect.h"
 
+#include <algorithm>
+#include <cctype>
 #include <charconv>
 #include <cmath>
 
@@ -11,6 +13,8 @@
 constexpr std::string_view announcePath = "/announce";
 constexpr std::string_view withdrawPrefix = "/announce?service=";
 constexpr int64_t maximumColdMilliseconds = 600'000;
+// In lower case, with the space that follows it.
+constexpr std::string_view bearerScheme = "bearer ";
 
 } // namespace
 
@@ -53,6 +57,20 @@
         report.coldFor = std::chrono::milliseconds(n);
 }
 
+std::optional<std::string_view> readBearerKey(const HttpRequest& request)
+{
+    auto value = findHeader(request.headers, Header::authorization);
+    if (!value || value->size() <= bearerScheme.size())
+        return std::nullopt;
+    bool isBearer = std::ranges::equal(value->substr(0, bearerScheme.size()), bearerScheme,
+        [](char a, char b) { return std::tolower(static_cast<unsigned char>(a)) == b; });
+    if (!isBearer)
+        return std::nullopt;
+    value->remove_prefix(bearerScheme.size());
+    value->remove_prefix(std::min(value->find_first_not_of(' '), value->size()));
+    return value;
+}
+
 Result<CallerRequest, EntryRefusal> NativeDialect::readCaller(const HttpRequest& request) const
 {
     return readCallerRequest(request);
@@ -60,6 +78,14 @@
 
 void NativeDialect::prepareForward(HttpRequest& request, std::string_view) const { removeCallerHeaders(request); }
 
+void NativeDialect::setAccount(HttpRequest& request, std::string_view name) const
+{
+    removeHeader(request.headers, Header::authorization);
+    removeHeader(request.headers, Header::tenant);
+    if (!name.empty())
+        setHeader(request.headers, Header::tenant, name);
+}
+
 void NativeDialect::prepareForTarget(HttpRequest& request, const TargetRequestContext& handover) const
 {
     setHeader(
--- a/Source/Node/NodeMessages.h
+++ b/Source/Node/NodeMessages.h
@@ -1,6 +1,7 @@
 // Messages between the tasks of one node.
 #pragma once
 
+#include "Accounts/Accounts.h"
 #include "Admission/Admission.h"
 #include "Base/Base.h"
 #include "Calls/CallActions.h"
@@ -25,6 +26,8 @@
     std::map<ServiceName, ServiceDefinition> services;
     // Set if operators configure routes; the route of a request then determines its service, deadlines and retries.
     std::shared_ptr<const RouteFinder> routes;
+    // Set if callers need a key.
+    std::shared_ptr<const AccountTable> accounts {};
 };
 using CataloguePointer = std::shared_ptr<const ServiceCatalogue>;
 
--- a/Source/Traffic/TrafficConfiguration.h
+++ b/Source/Traffic/TrafficConfiguration.h
@@ -6,6 +6,7 @@
 #include "Base/Time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,8 @@
     uint32_t maximumAttempts { 1 };
     // 0 is the most urgent.
     uint32_t rank { 0 };
+    // Callers need no key, even if the configuration has accounts.
+    bool isPublic { false };
     bool operator==(const TrafficRoute&) const = default;
 };
 
@@ -60,11 +63,25 @@
     bool operator==(const CallerLimits&) const = default;
 };
 
+// A client on whose behalf callers send requests; they identify it by one of its keys.
+struct ClientAccount {
+    TenantName name;
+    std::vector<std::string> keys;
+    // Goes before the rank of the route.
+    std::optional<uint32_t> rank {};
+    // Requests per second that all nodes together accept, and as many more at once; a rate of zero sets no limit.
+    double requestsPerSecond { 0 };
+    double burst { 0 };
+    bool operator==(const ClientAccount&) const = default;
+};
+
 struct TrafficConfiguration {
     uint64_t version { 0 };
     std::vector<TrafficRoute> routes;
     std::vector<TrafficService> services;
     CallerLimits limits;
+    // Absent if callers need no key.
+    std::optional<std::vector<ClientAccount>> accounts {};
     bool operator==(const TrafficConfiguration&) const = default;
 };
 
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -4,7 +4,7 @@
 packages=(
     g++ cmake ninja-build pkg-config ccache clang-format clang-tidy python3
     libevent-dev capnproto libcapnp-dev libboost-dev libcxxopts-dev libeasyloggingpp-dev
-    librapidcheck-dev libinih-dev libopentracing-dev libgtest-dev libgmock-dev libbenchmark-dev
+    librapidcheck-dev libinih-dev libsodium-dev libopentracing-dev libgtest-dev libgmock-dev libbenchmark-dev
 )
 missing=()
 for package in "${packages[@]}"; do
--- a/tests/Node/TargetTaskFixture.h
+++ b/tests/Node/TargetTaskFixture.h
@@ -18,6 +18,8 @@
         return m_native.readCaller(request);
     }
     void prepareForward(HttpRequest&, std::string_view) const override { }
+    std::optional<std::string_view> readKey(const HttpRequest&) const override { return std::nullopt; }
+    void setAccount(HttpRequest&, std::string_view) const override { }
     void prepareForTarget(HttpRequest&, const TargetRequestContext&) const override { }
     TargetReport readTargetAnswer(const HttpResponse& response) const override
     {
--- a/tests/PlatformAdapter/DialectTest.cpp
+++ b/tests/PlatformAdapter/DialectTest.cpp
@@ -235,3 +235,88 @@
     EXPECT_FALSE(decodeConfiguration("{\"version\":1.5}"));
     EXPECT_FALSE(decodeConfiguration("{\"version\":7,"));
 }
+
+// A key that reached a target could be used by it, and an account that a caller names itself would be believed.
+TEST(PlatformDialect, TheTargetHearsTheAccountAndNotTheKey)
+{
+    auto request = makeRequest({ { "Authorization", "Bearer key-1" }, { "X-Tenant-Id", "forged" }, { "X-Own", "1" } });
+    EXPECT_EQ(dialect.readKey(request), "key-1");
+    dialect.setAccount(request, "north");
+    EXPECT_EQ(findHeader(request.headers, "Authorization"), std::nullopt);
+    EXPECT_EQ(findHeader(request.headers, "X-Tenant-Id"), "north");
+    EXPECT_EQ(findHeader(request.headers, "X-Own"), "1");
+    dialect.setAccount(request, {});
+    EXPECT_EQ(findHeader(request.headers, "X-Tenant-Id"), std::nullopt);
+}
+
+TEST(PlatformDialect, OnlyABearerKeyIsAKey)
+{
+    auto keyOf = [](std::string value) {
+        auto request = makeRequest({ { "Authorization", std::move(value) } });
+        return std::string(dialect.readKey(request).value_or("none"));
+    };
+    EXPECT_EQ(keyOf("bearer key-1"), "key-1");
+    EXPECT_EQ(keyOf("BEARER   key-1"), "key-1");
+    for (auto* it : { "", "Bearer", "Bearer ", "Basic key-1", "Bearerkey-1", "key-1" })
+        EXPECT_EQ(keyOf(it), "none") << it;
+    EXPECT_EQ(dialect.readKey(makeRequest({})), std::nullopt);
+}
+
+namespace {
+
+std::string withAccounts(const std::string& rows)
+{
+    std::string text = configuration(R"(["r-1","h","/a/","download",1,0.5,2,"huvo11a",3,null])");
+    text.pop_back();
+    return text + R"(,"tenants":{"columns":["name","api-keys","priority","rate-per-s","burst"],"rows":[)" + rows
+        + "]}}";
+}
+
+} // namespace
+
+// Callers of a configuration without accounts must not be asked for a key, and those of one with an empty list must be.
+TEST(ConfigurationDocument, AccountsWithTheirKeysAndLimits)
+{
+    EXPECT_FALSE(decodeConfiguration(configuration(R"(["r-1","h","/a/","download",1,0.5,2,"huvo11a",3,null])"))
+                     ->accounts.has_value());
+    auto read
+        = decodeConfiguration(withAccounts(R"(["north",["k1","k2"],1,254,10.5],["south",["k3"],null,null,null])"));
+    ASSERT_TRUE(read && read->accounts);
+    EXPECT_EQ(read->routes[0].kind, RequestKind::Idempotent);
+    EXPECT_EQ(*read->accounts,
+        (std::vector<ClientAccount> {
+            { .name = TenantName("north"), .keys = { "k1", "k2" }, .rank = 1, .requestsPerSecond = 254, .burst = 10.5 },
+            { .name = TenantName("south"), .keys = { "k3" } },
+        }));
+    auto empty = decodeConfiguration(withAccounts(""));
+    ASSERT_TRUE(empty && empty->accounts);
+    EXPECT_TRUE(empty->accounts->empty());
+    EXPECT_FALSE(decodeConfiguration(withAccounts(R"(["two words",["k"],1,1,1])")));
+    EXPECT_FALSE(decodeConfiguration(withAccounts(R"([null,["k"],1,1,1])")));
+}
+
+// Without the bound a target that comes back cold would be sent what it gets warm.
+TEST(ConfigurationDocument, ServicesMayNameABoundForColdTargets)
+{
+    auto text = [](const std::string& columns, const std::string& values) {
+        return R"({"version":7,"routes":{"columns":[],"rows":[]},"services":{"columns":["name")" + columns
+            + R"(],"rows":[["huvo11a")" + values + "]]}}";
+    };
+    auto read = decodeConfiguration(text(R"(,"cold-start-s","cold-per-s")", ",3.0,17.0"));
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->services[0].coldRequestsPerSecond, 17.0);
+    EXPECT_EQ(read->services[0].coldTime, 3s);
+    EXPECT_EQ(decodeConfiguration(text("", ""))->services[0].coldRequestsPerSecond, 0.0);
+    EXPECT_EQ(decodeConfiguration(text(R"(,"cold-per-s")", ",null"))->services[0].coldRequestsPerSecond, 0.0);
+}
+
+TEST(PlatformDialect, HealthAnswersTellHowLongAServerStaysCold)
+{
+    auto coldOf = [](std::string text) {
+        return dialect.readTargetAnswer({ .status = 200, .headers = { { "X-Cold-Start-Ms", text } } }).coldFor;
+    };
+    EXPECT_EQ(coldOf("2400"), 2400ms);
+    EXPECT_EQ(coldOf("0"), 0ms);
+    for (auto* it : { "", "soon", "-1", "2.5", "99999999999" })
+        EXPECT_EQ(coldOf(it), std::nullopt) << it;
+}
