Ignore gossip of other systems

Gossip carries an identity: a hash of the store's addresses, which all nodes of a system share, or of [membership] system. Messages of another system are dropped, counted, and logged every 10 s. Nodes of earlier versions name none and are accepted.

--- a/Source/Log/EventCatalogue.cpp
+++ b/Source/Log/EventCatalogue.cpp
@@ -96,6 +96,8 @@
         "Contact with the zone and the region is back." },
     { Event::SeedsFound, Level::Info, "seeds-found",
         "The store's rows name other nodes, which are asked for the members." },
+    { Event::ForeignSystem, Level::Warning, "foreign-system",
+        "A node of another system sends gossip to this address; its messages are dropped and counted." },
     { Event::ConfigurationApplied, Level::Info, "configuration-applied",
         "A newer configuration is in force on this node." },
     { Event::ConfigurationRecorded, Level::Info, "configuration-recorded", "An operator's change is durable." },
--- a/Source/Log/EventCatalogue.h
+++ b/Source/Log/EventCatalogue.h
@@ -92,6 +92,7 @@
     NodeCutOff = 606,
     NodeContactRestored = 607,
     SeedsFound = 608,
+    ForeignSystem = 609,
 
     ConfigurationApplied = 701,
     ConfigurationRecorded = 702,
--- a/Source/Node/MembershipTask.cpp
+++ b/Source/Node/MembershipTask.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr Duration publicationInterval = std::chrono::milliseconds(100);
+constexpr Duration foreignLogInterval = std::chrono::seconds(10);
 
 MemberRecord makeSelf(const NodeContext& context)
 {
@@ -20,6 +21,22 @@
         .version = 1 };
 }
 
+// Zero if nothing identifies the system; FNV-1a, so that it is the same on all nodes.
+uint64_t systemIdentity(const NodeSettings& settings)
+{
+    std::string text = settings.membership.system;
+    if (text.empty()) {
+        for (auto& it : { settings.platform.store, settings.platform.table, settings.platform.objects })
+            text += it ? toText(*it) + " " : std::string();
+    }
+    if (text.empty())
+        return 0;
+    uint64_t hash = 0xcbf29ce484222325;
+    for (char it : text)
+        hash = (hash ^ static_cast<uint8_t>(it)) * 0x100000001b3;
+    return std::max<uint64_t>(hash, 1);
+}
+
 MembershipOptions makeOptions(const MembershipSection& settings)
 {
     MembershipOptions options;
@@ -60,7 +77,8 @@
         m_service.receive(message, from, steadyNow(), actions);
         perform(actions);
         wake();
-    }))
+    }),
+          systemIdentity(context.settings), guarded([this](const Endpoint& from) { foreignSystemSeen(from); }))
     , m_service(makeOptions(context.settings.membership), makeSelf(context), context.seed, steadyNow())
     , m_timer(context.loop, guarded([this] { wake(); }))
     , m_pauses(context.loop, {}, guarded([this](Duration gap) {
@@ -247,6 +265,16 @@
     m_context.ports.configuration.post(RecordDeparture { .departed = remembered.departed, .done = [] {} });
 }
 
+void MembershipTask::foreignSystemSeen(const Endpoint& from)
+{
+    Instant now = steadyNow();
+    if (now < m_foreignQuietUntil)
+        return;
+    m_foreignQuietUntil = now + foreignLogInterval;
+    logEvent(
+        Event::ForeignSystem, { { "from", toText(from) }, { "dropped", std::to_string(m_socket.counters().foreign) } });
+}
+
 void MembershipTask::publishMembers()
 {
     m_hasChanges = false;
@@ -304,6 +332,7 @@
     m_context.metrics.set("berylport_gossip_sent_bytes", static_cast<double>(counters.sentBytes));
     m_context.metrics.set("berylport_gossip_received_bytes", static_cast<double>(counters.receivedBytes));
     m_context.metrics.set("berylport_gossip_malformed", static_cast<double>(counters.malformed));
+    m_context.metrics.set("berylport_gossip_foreign", static_cast<double>(counters.foreign));
 }
 
 } // namespace Berylport
--- a/Source/Node/MembershipTask.h
+++ b/Source/Node/MembershipTask.h
@@ -39,6 +39,7 @@
     void perform(EvacuationLearned&&);
     void perform(CoordinatorLearned&&);
     void perform(PredecessorDepartureLearned&&);
+    void foreignSystemSeen(const Endpoint& from);
     void publishMembers();
     void wake();
     void updateStatus();
@@ -53,6 +54,8 @@
     // Initially true, as the record of this node itself must be published.
     bool m_hasChanges { true };
     Instant m_lastPublication;
+    // Until when further datagrams of other systems are only counted.
+    Instant m_foreignQuietUntil;
     bool m_wasDiscoveryDone { false };
 };
 
--- a/Source/Peer/GossipCodec.cpp
+++ b/Source/Peer/GossipCodec.cpp
@@ -338,12 +338,13 @@
 
 } // namespace
 
-Result<std::string, PeerError> encodeGossip(const GossipMessage& message, Instant now)
+Result<std::string, PeerError> encodeGossip(const GossipMessage& message, Instant now, uint64_t system)
 {
     return decode<std::string>([&]() -> Result<std::string, PeerError> {
         capnp::MallocMessageBuilder builder;
         auto root = builder.initRoot<Schema::GossipMessage>();
         root.setProtocolVersion(gossipProtocolVersion);
+        root.setSystem(system);
         auto writeAll = [&root, now](const auto& it) {
             root.setSequence(it.sequence);
             root.setSender(it.sender.value);
@@ -360,16 +361,21 @@
     });
 }
 
-Result<GossipMessage, PeerError> decodeGossip(std::string_view datagram, Instant now)
+Result<GossipMessage, PeerError> decodeGossip(std::string_view datagram, Instant now, uint64_t system)
 {
     if (datagram.size() > maximumGossipBytes)
         return PeerError::MessageTooLarge;
-    return decode<GossipMessage>([&] {
+    return decode<GossipMessage>([&]() -> Result<GossipMessage, PeerError> {
         capnp::ReaderOptions options;
         options.traversalLimitInWords = maximumUnpackedWords;
         kj::ArrayInputStream stream(kj::arrayPtr(reinterpret_cast<const kj::byte*>(datagram.data()), datagram.size()));
         capnp::PackedMessageReader reader(stream, options);
-        return readMessage(reader.getRoot<Schema::GossipMessage>(), now);
+        auto root = reader.getRoot<Schema::GossipMessage>();
+        // Nodes of earlier versions name no system; they take part in a rolling upgrade.
+        bool isForeign = system && root.getSystem() && root.getSystem() != system;
+        if (isForeign)
+            return PeerError::ForeignSystem;
+        return readMessage(root, now);
     });
 }
 
--- a/Source/Peer/GossipSocket.cpp
+++ b/Source/Peer/GossipSocket.cpp
@@ -19,9 +19,11 @@
 
 class GossipSocket::Private {
 public:
-    Private(EventLoop& loop, Receiver receiver)
+    Private(EventLoop& loop, Receiver receiver, uint64_t system, ForeignHandler onForeign)
         : m_loop(loop)
         , m_receiver(std::move(receiver))
+        , m_system(system)
+        , m_onForeign(std::move(onForeign))
     {
     }
 
@@ -38,6 +40,8 @@
 
     EventLoop& m_loop;
     Receiver m_receiver;
+    uint64_t m_system;
+    ForeignHandler m_onForeign;
     int m_fd { -1 };
     std::unique_ptr<FdWatcher> m_watcher;
     GossipCounters m_counters;
@@ -67,7 +71,7 @@
     auto address = toSocketAddress(to);
     if (!address)
         return PeerError::InvalidAddress;
-    auto datagram = encodeGossip(message, steadyNow());
+    auto datagram = encodeGossip(message, steadyNow(), m_system);
     if (!datagram)
         return datagram.error();
     const std::string& bytes = datagram.value();
@@ -101,15 +105,19 @@
 {
     ++m_counters.received;
     m_counters.receivedBytes += datagram.size();
-    auto message = decodeGossip(datagram, steadyNow());
-    if (message)
+    auto message = decodeGossip(datagram, steadyNow(), m_system);
+    if (message) {
         m_receiver(toEndpoint(from), std::move(message).value());
-    else
+    } else if (message.error() == PeerError::ForeignSystem) {
+        ++m_counters.foreign;
+        if (m_onForeign)
+            m_onForeign(toEndpoint(from));
+    } else
         ++m_counters.malformed;
 }
 
-GossipSocket::GossipSocket(EventLoop& loop, Receiver receiver)
-    : m_private(std::make_unique<Private>(loop, std::move(receiver)))
+GossipSocket::GossipSocket(EventLoop& loop, Receiver receiver, uint64_t system, ForeignHandler onForeign)
+    : m_private(std::make_unique<Private>(loop, std::move(receiver), system, std::move(onForeign)))
 {
 }
 
--- a/Source/Peer/GossipSocket.h
+++ b/Source/Peer/GossipSocket.h
@@ -13,9 +13,10 @@
 
 namespace Berylport {
 
-// Times are ages on the wire, so both take the present time.
-Result<std::string, PeerError> encodeGossip(const GossipMessage&, Instant now);
-Result<GossipMessage, PeerError> decodeGossip(std::string_view, Instant now);
+// Times are ages on the wire, so both take the present time. The system is the identity of this node's one, zero for
+// none; a message of another system fails with ForeignSystem.
+Result<std::string, PeerError> encodeGossip(const GossipMessage&, Instant now, uint64_t system = 0);
+Result<GossipMessage, PeerError> decodeGossip(std::string_view, Instant now, uint64_t system = 0);
 
 struct GossipCounters {
     uint64_t sent { 0 };
@@ -25,13 +26,19 @@
     uint64_t receivedBytes { 0 };
     // Dropped datagrams: oversized, undecodable, or with a field out of range.
     uint64_t malformed { 0 };
+    // Datagrams of nodes of another system, dropped too.
+    uint64_t foreign { 0 };
 };
 
 class GossipSocket {
 public:
     using Receiver = std::function<void(const Endpoint& from, GossipMessage)>;
 
-    GossipSocket(EventLoop&, Receiver);
+    // Told of each datagram of another system that is dropped.
+    using ForeignHandler = std::function<void(const Endpoint& from)>;
+
+    // system as in decodeGossip.
+    GossipSocket(EventLoop&, Receiver, uint64_t system = 0, ForeignHandler = {});
     ~GossipSocket();
     GossipSocket(const GossipSocket&) = delete;
     GossipSocket& operator=(const GossipSocket&) = delete;
--- a/Source/Peer/PeerError.cpp
+++ b/Source/Peer/PeerError.cpp
@@ -18,6 +18,8 @@
         return "backing-off";
     case PeerError::WrongNode:
         return "wrong-node";
+    case PeerError::ForeignSystem:
+        return "foreign-system";
     case PeerError::WrongVersion:
         return "wrong-version";
     case PeerError::LinkLost:
--- a/Source/Peer/PeerError.h
+++ b/Source/Peer/PeerError.h
@@ -16,6 +16,8 @@
     // The node at the address has another NodeId than expected.
     WrongNode,
     WrongVersion,
+    // The sender belongs to another system.
+    ForeignSystem,
     LinkLost,
     // The peer did not answer keepalive pings within the inactivity limit.
     PingTimeout,
--- a/Source/Schema/Generated/Gossip.capnp.h
+++ b/Source/Schema/Generated/Gossip.capnp.h
@@ -171,7 +171,7 @@
   struct PingRequest;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b510e4f7c5a5ca63, 7, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(b510e4f7c5a5ca63, 8, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -186,7 +186,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d2c7ff790a23e652, 7, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(d2c7ff790a23e652, 8, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -971,6 +971,8 @@
   inline bool hasEvacuation() const;
   inline  ::Berylport::Schema::Evacuation::Reader getEvacuation() const;
 
+  inline  ::uint64_t getSystem() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1084,6 +1086,9 @@
   inline void adoptEvacuation(::capnp::Orphan< ::Berylport::Schema::Evacuation>&& value);
   inline ::capnp::Orphan< ::Berylport::Schema::Evacuation> disownEvacuation();
 
+  inline  ::uint64_t getSystem();
+  inline void setSystem( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2321,6 +2326,20 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t GossipMessage::Reader::getSystem() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GossipMessage::Builder::getSystem() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void GossipMessage::Builder::setSystem( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t GossipMessage::PingRequest::Reader::getTarget() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
--- a/Source/Schema/Gossip.capnp
+++ b/Source/Schema/Gossip.capnp
@@ -104,6 +104,8 @@
   suspectDigest @16 :UInt64;
   # Absent while no zone was evacuated.
   evacuation @17 :Evacuation;
+  # Identity of the sender's system; zero from nodes that have none.
+  system @18 :UInt64;
   union {
     ping @7 :Void;
     ack @8 :Void;
--- a/Source/Settings/NodeSettings.h
+++ b/Source/Settings/NodeSettings.h
@@ -55,6 +55,9 @@
     std::vector<Endpoint> seeds;
     Duration probeInterval { std::chrono::milliseconds(500) };
     Duration suspicionTime { std::chrono::seconds(5) };
+    // Name of the system that this node belongs to; nodes of others are ignored. Empty: the addresses of the store,
+    // which all nodes of a system share, identify it.
+    std::string system {};
 };
 
 struct CallerSection {
--- a/Source/Settings/SettingsSchema.cpp
+++ b/Source/Settings/SettingsSchema.cpp
@@ -276,6 +276,8 @@
         Field { &S::membership, &M::probeInterval }, 20, minute));
     list.push_back(milliseconds({ "membership", "suspicion_ms", "time from suspicion to death" },
         Field { &S::membership, &M::suspicionTime }, 100, 10 * minute));
+    list.push_back(text({ "membership", "system", "name of the system; the store's addresses identify it when empty" },
+        "any text", Field { &S::membership, &M::system }));
 }
 
 void appendConnections(std::vector<SettingInfo>& list)
--- a/tests/Peer/GossipSocketTest.cpp
+++ b/tests/Peer/GossipSocketTest.cpp
@@ -251,3 +251,15 @@
     EXPECT_EQ(
         socket.send({ .address = "localhost", .port = 1 }, createMessages()[0]).error(), PeerError::InvalidAddress);
 }
+
+// Two systems that share addresses over time must not join: one would run the other's calls.
+TEST(GossipCodec, AMessageOfAnotherSystemIsRefused)
+{
+    GossipPing ping { .sequence = 1, .sender = NodeId { 7 }, .content = createContent(1) };
+    auto bytes = encodeGossip(ping, now, 5).value();
+    EXPECT_TRUE(decodeGossip(bytes, now, 5).has_value());
+    EXPECT_EQ(decodeGossip(bytes, now, 6).error(), PeerError::ForeignSystem);
+    // Nodes of earlier versions neither name nor know a system.
+    EXPECT_TRUE(decodeGossip(bytes, now).has_value());
+    EXPECT_TRUE(decodeGossip(encodeGossip(ping, now).value(), now, 6).has_value());
+}
