Bound the memory that callers can make a node hold

Cause: evhttp goes on reading while it writes an answer, and no bound held for all connections together.

A connection is no longer read while more than 64 KiB of it waits. MemoryBudget counts what each connection holds and, above a quarter of the process's memory, closes the one that holds most for longest without progress. Retained answers, queued bodies and requests sent ahead are bounded by the same setting, [memory] limit_mb.

From the review of the parts: a health answer other than 200 without a cold time does not end the cold time; starts count before a bound is configured; at most 16 evacuated zones are told.

--- a/Source/Admission/ColdLimiter.cpp
+++ b/Source/Admission/ColdLimiter.cpp
@@ -66,8 +66,6 @@
 
 void ColdLimiter::recordStart(Instant now)
 {
-    if (!(m_rate > 0))
-        return;
     m_starts.push_back(now);
     forgetOldStarts(now);
 }
--- a/Source/Configuration/EvacuationTracker.cpp
+++ b/Source/Configuration/EvacuationTracker.cpp
@@ -8,8 +8,7 @@
 bool EvacuationTracker::sourceRead(uint64_t era, uint64_t version, std::vector<ZoneName> zones)
 {
     std::ranges::sort(zones);
-    const auto repeated = std::ranges::unique(zones);
-    zones.erase(repeated.begin(), repeated.end());
+    zones.erase(std::unique(zones.begin(), zones.end()), zones.end());
     EvacuatedZones read { .era = era, .version = version, .zones = std::move(zones) };
     if (m_source.isNewerThan(read))
         return false;
--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -20,6 +20,8 @@
 constexpr size_t maximumRawBytes = 64 * 1024;
 // One read of the watch on the caller.
 constexpr size_t watchReadBytes = 4096;
+// Bytes taken between two checks of the memory that count as progress of a slow reader.
+constexpr size_t minimumTakenBytes = 16 * 1024;
 
 constexpr std::string_view continueLine = "HTTP/1.1 100 Continue\r\n\r\n";
 // What evhttp reads in place of a request: it marks the place of the answer and nothing else.
@@ -76,6 +78,7 @@
     , m_isRefused(isRefused)
     , m_readTimer(evtimer_new(server.base, handleReadTimer, this))
     , m_writeTimer(evtimer_new(server.base, handleWriteTimer, this))
+    , m_holder(server.memory->add(steadyNow()))
 {
     bufferevent_incref(it);
     // evhttp's read function must not run when its input is empty after the callback took all bytes.
@@ -86,6 +89,7 @@
 
 HttpConnection::~HttpConnection()
 {
+    m_server.memory->remove(m_holder);
     evbuffer_remove_cb_entry(bufferevent_get_input(m_bufferevent), m_inputCallback);
     bufferevent_decref(m_bufferevent);
 }
@@ -120,6 +124,8 @@
         self->beginRequests();
     else
         self->parse();
+    self->updateReading();
+    self->heldChanged();
 }
 
 // A placeholder that evhttp has not read yet stays in front.
@@ -184,6 +190,9 @@
             = m_server.options.runsBesideOthers && m_server.options.runsBesideOthers(*request.request);
         m_reading = request.closesConnection ? Reading::Ended : Reading::Idle;
         m_pipeline.push(std::move(request));
+        // Sending further requests is no progress while answers are not taken.
+        if (m_pipeline.size() == 1)
+            m_server.memory->recordProgress(m_holder, steadyNow());
         updateReadTimer();
         return;
     }
@@ -231,12 +240,51 @@
     if (n > 0) {
         evbuffer_add(m_raw.get(), buf.data(), static_cast<size_t>(n));
         beginRequests();
+        heldChanged();
         return;
     }
     if (!n || (errno != EAGAIN && errno != EINTR))
         close();
 }
 
+void HttpConnection::updateReading()
+{
+    // evhttp leaves reading on while it writes an answer, so a caller that takes none could fill the memory.
+    bool isFull = evbuffer_get_length(m_raw.get()) > maximumRawBytes;
+    // It also turns reading on again with each answer.
+    if (isFull && (bufferevent_get_enabled(m_bufferevent) & EV_READ)) {
+        bufferevent_disable(m_bufferevent, EV_READ);
+        m_isReadingStopped = true;
+    } else if (!isFull && std::exchange(m_isReadingStopped, false))
+        bufferevent_enable(m_bufferevent, EV_READ);
+}
+
+void HttpConnection::updateHeld()
+{
+    size_t unsent = evbuffer_get_length(bufferevent_get_output(m_bufferevent));
+    // A caller that takes this much at a time reads its answer.
+    if (unsent + minimumTakenBytes <= m_heldUnsentBytes)
+        m_server.memory->recordProgress(m_holder, steadyNow());
+    m_heldUnsentBytes = unsent;
+    m_server.memory->set(m_holder, evbuffer_get_length(m_raw.get()) + m_parsedBytes + m_pipeline.heldBytes() + unsent);
+}
+
+void HttpConnection::heldChanged()
+{
+    updateHeld();
+    m_server.checkMemory();
+}
+
+bool HttpConnection::closeForMemory()
+{
+    if (!m_evhttpConnection)
+        return false;
+    if (m_server.options.onMemoryExceeded)
+        m_server.options.onMemoryExceeded(m_peer, m_server.memory->bytes());
+    close();
+    return true;
+}
+
 // Times count while no earlier request is unanswered: until then it may be this server that does not read.
 void HttpConnection::updateReadTimer()
 {
@@ -340,6 +388,7 @@
     m_pipeline.answer(sequence, std::move(response));
     if (m_writing == Writing::Waiting && m_pipeline.front().sequence == sequence)
         writeFront();
+    heldChanged();
 }
 
 void HttpConnection::writeFront()
@@ -384,12 +433,15 @@
     self->m_writing = Writing::Nothing;
     event_del(self->m_writeTimer.get());
     self->m_pipeline.pop();
+    self->m_server.memory->recordProgress(self->m_holder, steadyNow());
+    self->updateHeld();
     if (self->m_closesAfterAnswer) {
         self->m_server.linger(dup(self->descriptor()));
         return;
     }
     self->updateReadTimer();
     self->parse();
+    self->updateReading();
     // In a later turn, as evhttp still uses its connection after this function.
     if (self->m_server.isDraining && self->m_pipeline.isEmpty() && self->m_reading == Reading::Idle)
         startTimer(self->m_readTimer.get(), Duration::zero());
--- a/Source/Http/HttpConnection.h
+++ b/Source/Http/HttpConnection.h
@@ -27,6 +27,10 @@
     Handler handler;
     HttpServerOptions options;
     PipelineBudget budget;
+    // Set from the start; needs the options.
+    std::optional<MemoryBudget> memory;
+    TimerPointer memoryTimer;
+    bool isMemoryCheckDue { false };
     std::unique_ptr<evhttp, EvhttpDeleter> http;
     evhttp_bound_socket* bound { nullptr };
     bool isDraining { false };
@@ -38,6 +42,9 @@
     // Takes the descriptor.
     void linger(evutil_socket_t);
     void updateListener();
+    // Ends connections in a later turn if the budget is exceeded.
+    void checkMemory();
+    void freeMemory();
     size_t connectionLimit() const { return size_t(options.maxConnections) + options.maxRefusedConnections; }
 };
 
@@ -81,6 +88,11 @@
     // The server drains: what has begun is answered, nothing else is read, and the connection ends.
     void closeAfterAnswers();
 
+    MemoryBudget::Holder holder() const { return m_holder; }
+    void updateHeld();
+    // Returns whether the connection has ended, which deletes this object.
+    bool closeForMemory();
+
 private:
     // State of the request that is being read.
     enum class Reading : uint8_t {
@@ -122,6 +134,9 @@
     void place();
     void writeFront();
     void watchCaller();
+    // Stops reading while more is read than may be parsed, and goes on when it was parsed.
+    void updateReading();
+    void heldChanged();
     void readAhead();
     void updateReadTimer();
     void readTimedOut();
@@ -157,6 +172,10 @@
     // Set while Waiting or Sending.
     evhttp_request* m_evhttpRequest { nullptr };
     size_t m_unsentBytes { 0 };
+    MemoryBudget::Holder m_holder;
+    bool m_isReadingStopped { false };
+    // Unsent bytes at the latest count.
+    size_t m_heldUnsentBytes { 0 };
 };
 
 } // namespace Berylport
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -3,6 +3,7 @@
 
 #include "Http/HttpConnection.h"
 
+#include <algorithm>
 #include <event2/listener.h>
 #include <event2/util.h>
 #include <netinet/in.h>
@@ -37,6 +38,29 @@
     });
 }
 
+void HttpServer::State::checkMemory()
+{
+    // In a later turn, as the caller of this function may be the connection that ends.
+    // Starting the timer again would put it off each time, as long as callers send.
+    if (memory->isExceeded() && !isClosing && !std::exchange(isMemoryCheckDue, true))
+        startTimer(memoryTimer.get(), Duration::zero());
+}
+
+void HttpServer::State::freeMemory()
+{
+    // What callers have taken since is not counted yet.
+    for (auto& it : connections)
+        it->updateHeld();
+    event_del(memoryTimer.get());
+    isMemoryCheckDue = false;
+    Instant now = steadyNow();
+    while (auto victim = memory->findVictim(now)) {
+        auto it = std::ranges::find(connections, *victim, [](auto& connection) { return connection->holder(); });
+        if (it == connections.end() || !(*it)->closeForMemory())
+            return;
+    }
+}
+
 void HttpServer::State::updateListener()
 {
     if (!bound)
@@ -56,6 +80,10 @@
     m_state->budget
         = { .maximumRequests = options.maximumPipelinedRequests, .maximumBytes = options.maximumPipelinedBytes };
     m_state->options = std::move(options);
+    m_state->memory.emplace(m_state->options.memory);
+    m_state->memoryTimer.reset(evtimer_new(
+        base, [](evutil_socket_t, short, void* argument) { static_cast<State*>(argument)->freeMemory(); },
+        m_state.get()));
     m_state->http.reset(evhttp_new(base));
     auto* http = m_state->http.get();
     evhttp_set_timeout(http, evhttpTimeoutSeconds);
@@ -136,4 +164,6 @@
 
 size_t HttpServer::connectionCount() const { return m_state->connections.size(); }
 
+size_t HttpServer::heldBytes() const { return m_state->memory->bytes(); }
+
 } // namespace Berylport
--- a/Source/Http/HttpServer.h
+++ b/Source/Http/HttpServer.h
@@ -17,6 +17,7 @@
 #include "Base/Identifiers.h"
 #include "Base/Result.h"
 #include "Base/Time.h"
+#include "Http/MemoryBudget.h"
 #include "Http/MessageParser.h"
 #include "Http/RequestPipeline.h"
 
@@ -50,6 +51,11 @@
     // requests that wait and of answers that are ready.
     uint32_t maximumPipelinedRequests { 4096 };
     size_t maximumPipelinedBytes { 32 * 1024 * 1024 };
+    // Of all connections together: requests, whether read as a whole or not, and answers until the kernel has taken
+    // them. Above it connections are closed.
+    MemoryBudgetOptions memory {};
+    // Told of each connection that is closed for the memory that it holds, in bytes.
+    std::function<void(const Endpoint& peer, size_t bytes)> onMemoryExceeded {};
     // Connections above this number are answered 503 and closed.
     uint32_t maxConnections { 1024 };
     // Connections above this number as well, those in their linger time included, wait in the listen queue.
@@ -118,6 +124,8 @@
     // idle. What its caller has sent behind them is not handled.
     void closeAfterAnswers();
     size_t connectionCount() const;
+    // What all connections hold; see HttpServerOptions::memory.
+    size_t heldBytes() const;
 
     struct State;
 
--- a/Source/Http/RequestPipeline.h
+++ b/Source/Http/RequestPipeline.h
@@ -71,6 +71,8 @@
 
     bool isEmpty() const { return m_requests.empty(); }
     size_t size() const { return m_requests.size(); }
+    // Of requests that have not begun and answers that are not written yet.
+    size_t heldBytes() const { return answerBytes() + waitingBytes(); }
     // Whether more may be read, with so many bytes of an unfinished request read already.
     bool takesMore(size_t unfinishedBytes) const;
     // Gives the request its sequence number.
--- a/Source/Log/EventCatalogue.cpp
+++ b/Source/Log/EventCatalogue.cpp
@@ -54,6 +54,9 @@
         "A caller's request was malformed, ambiguous or too large." },
     { Event::CallerConnectionLimit, Level::Warning, "caller-connection-limit",
         "A caller's connection was refused because the limit is reached." },
+    { Event::CallerMemoryExceeded, Level::Warning, "caller-memory-exceeded",
+        "Callers' connections hold more than their part of the memory; the one that holds most for longest was "
+        "closed." },
     { Event::LinkOpened, Level::Debug, "link-opened", "A link to or from another node is up." },
     { Event::LinkClosed, Level::Info, "link-closed",
         "A link to or from another node was closed; the field gives the reason." },
--- a/Source/Log/EventCatalogue.h
+++ b/Source/Log/EventCatalogue.h
@@ -61,6 +61,7 @@
 
     RequestRejected = 201,
     CallerConnectionLimit = 202,
+    CallerMemoryExceeded = 203,
 
     LinkOpened = 301,
     LinkClosed = 302,
--- a/Source/Node/EntryTask.cpp
+++ b/Source/Node/EntryTask.cpp
@@ -3,6 +3,7 @@
 
 #include "Log/Log.h"
 #include "Membership/Membership.h"
+#include "Node/MemoryLimits.h"
 #include "Trace/Trace.h"
 
 #include <algorithm>
@@ -23,6 +24,7 @@
 constexpr uint16_t firstServerError = 500;
 // Bodies up to this size are hashed to remember that their requests ended well.
 constexpr size_t maximumRememberedBody = 4096;
+constexpr Duration memoryLogInterval = std::chrono::seconds(1);
 constexpr std::string_view actionPathPrefix = "/berylport/actions/";
 
 SelectionPolicy policyFor(std::string_view name)
@@ -99,12 +101,16 @@
 HttpServerOptions EntryTask::makeServerOptions()
 {
     const CallerSection& settings = m_context.settings.caller;
+    MemoryLimits memory = memoryLimits(m_context.settings.memory);
     return { .limits = { .headBytes = settings.maximumHeaderBytes, .bodyBytes = settings.maximumBodyBytes },
         .headTime = settings.readTimeout,
         .bodyTime = settings.readTimeout,
         .idleTime = settings.idleTimeout,
         .runsBesideOthers = [this](const HttpRequest& request) { return mayRunConcurrently(request); },
         .pipeline = { .requests = settings.pipelinedRequests },
+        .maximumPipelinedBytes = memory.pipelinedBytes,
+        .memory = { .maximumBytes = memory.callerBytes },
+        .onMemoryExceeded = guarded([this](const Endpoint& peer, size_t held) { memoryExceeded(peer, held); }),
         .maxConnections = settings.maximumConnections };
 }
 
@@ -144,6 +150,16 @@
     responder.answer(makeRefusal(refusal, dialect()));
 }
 
+void EntryTask::memoryExceeded(const Endpoint& peer, size_t held)
+{
+    m_context.metrics.add("berylport_caller_memory_closes_total");
+    Instant now = steadyNow();
+    if (now < m_memoryQuietUntil)
+        return;
+    m_memoryQuietUntil = now + memoryLogInterval;
+    logEvent(Event::CallerMemoryExceeded, { { "peer", toText(peer) }, { "held_bytes", std::to_string(held) } });
+}
+
 bool EntryTask::answerInternalPath(const HttpRequest& request, const Responder& responder)
 {
     std::string_view path = request.target;
@@ -640,6 +656,10 @@
     perform(actions);
 }
 
-void EntryTask::updateStatus() { m_context.status.entryCalls = m_callers.size() + m_pendingChildCalls.size(); }
+void EntryTask::updateStatus()
+{
+    m_context.status.entryCalls = m_callers.size() + m_pendingChildCalls.size();
+    m_context.metrics.set("berylport_caller_held_bytes", static_cast<double>(m_server.heldBytes()));
+}
 
 } // namespace Berylport
--- a/Source/Node/EntryTask.h
+++ b/Source/Node/EntryTask.h
@@ -95,6 +95,8 @@
     void perform(AnswerCaller&&);
     void sendToOwnTarget(CallRequest);
     void refuse(const Responder&, std::string_view requestId, EntryRefusal);
+    // A connection was closed for the memory that it held.
+    void memoryExceeded(const Endpoint& peer, size_t held);
     void logAttempt(const SendAttempt&);
     // Whether a request ends its targets.
     void recordEvidence(const CallLost&);
@@ -117,6 +119,8 @@
     GuardState m_guard { GuardState::Unconfirmed };
     // The process ends without waiting for the calls that are left.
     bool m_isEnding { false };
+    // Until when further closed connections are only counted.
+    Instant m_memoryQuietUntil;
     uint64_t m_lastSequence { 0 };
     std::unordered_map<CallId, Caller> m_callers;
     std::unordered_map<CallId, PendingChildCall> m_pendingChildCalls;
--- a/Source/Node/HealthTask.cpp
+++ b/Source/Node/HealthTask.cpp
@@ -2,6 +2,7 @@
 #include "Node/HealthTask.h"
 
 #include "Log/Log.h"
+#include "Node/MemoryLimits.h"
 
 namespace Berylport {
 
@@ -23,7 +24,9 @@
 {
     if (!endpoint)
         return;
-    server = std::make_unique<HttpServer>(m_context.loop.base(), std::move(handler));
+    HttpServerOptions options { .memory
+        = { .maximumBytes = memoryLimits(m_context.settings.memory).otherServerBytes } };
+    server = std::make_unique<HttpServer>(m_context.loop.base(), std::move(handler), std::move(options));
     auto bound = server->listen(*endpoint);
     if (!bound)
         throw std::runtime_error("cannot listen for health checks or metrics on " + toText(*endpoint) + ": "
--- a/Source/Node/LocalTarget.cpp
+++ b/Source/Node/LocalTarget.cpp
@@ -24,11 +24,16 @@
 }
 
 LocalTarget::LocalTarget(event_base* eventBase, NodeId self, const ServiceName& name, const TargetSection& section,
-    Instant now, Instant processStart)
+    Instant now, Instant processStart, const MemoryLimits& memory)
     : base(eventBase)
     , settings(section)
     , service(name)
-    , admission({ .self = self, .service = name, .processStart = processStart, .adaptsConcurrency = true })
+    , admission({ .self = self,
+          .service = name,
+          .maximumQueuedBytes = memory.queuedBytes,
+          .ledger = { .maximumRetainedBytes = memory.retainedBytes },
+          .processStart = processStart,
+          .adaptsConcurrency = true })
     , probe({}, now)
 {
 }
--- a/Source/Node/LocalTarget.h
+++ b/Source/Node/LocalTarget.h
@@ -5,6 +5,7 @@
 #include "Http/Http.h"
 #include "Measure/Measure.h"
 #include "Node/Announcement.h"
+#include "Node/MemoryLimits.h"
 #include "Settings/Settings.h"
 
 #include <functional>
@@ -44,8 +45,8 @@
 
 struct LocalTarget {
     // processStart as in AdmissionOptions.
-    LocalTarget(
-        event_base*, NodeId self, const ServiceName&, const TargetSection&, Instant now, Instant processStart = {});
+    LocalTarget(event_base*, NodeId self, const ServiceName&, const TargetSection&, Instant now,
+        Instant processStart = {}, const MemoryLimits& = memoryLimits({}));
 
     // Creates the client for the address of the target; called when the address is first known and when it changes.
     void connect(const Endpoint&, bool allowsCloseDelimitedAnswers);
--- a/Source/Node/NodeDaemon.cpp
+++ b/Source/Node/NodeDaemon.cpp
@@ -8,6 +8,7 @@
 #include "Node/HealthTask.h"
 #include "Node/LinkTask.h"
 #include "Node/MembershipTask.h"
+#include "Node/MemoryLimits.h"
 #include "Node/NativeDialect.h"
 #include "Node/OperatorTask.h"
 #include "Node/PatientTask.h"
@@ -301,6 +302,7 @@
 
 NodeExit runNode(const NodeSettings& settings, NodeAdapter adapter, SettingsReader reader)
 {
+    returnFreedMemory();
     return NodeDaemon(settings, std::move(adapter), std::move(reader)).run();
 }
 
--- a/Source/Node/TargetTask.cpp
+++ b/Source/Node/TargetTask.cpp
@@ -87,7 +87,8 @@
     }))
     , m_server(context.loop.base(), guarded([this](HttpRequest request, const Endpoint& peer, Responder responder) {
         localRequestArrived(std::move(request), peer, std::move(responder));
-    }))
+    }),
+          { .memory = { .maximumBytes = memoryLimits(context.settings.memory).otherServerBytes } })
     , m_timer(context.loop, guarded([this] { wake(); }))
     , m_pauses(context.loop, {}, guarded([this](Duration gap) { pauseDetected(gap); }))
     , m_budget(makeMeasureOptions(context.settings.measure), steadyNow())
@@ -142,8 +143,8 @@
         return *target;
     // At the first start of the whole system no process has preceded this one.
     Instant processStart = m_context.settings.node.isFirstStart ? Instant() : m_context.status.startedAt;
-    target = std::make_unique<LocalTarget>(
-        m_context.loop.base(), m_context.self, service, m_context.settings.target, steadyNow(), processStart);
+    target = std::make_unique<LocalTarget>(m_context.loop.base(), m_context.self, service, m_context.settings.target,
+        steadyNow(), processStart, memoryLimits(m_context.settings.memory));
     target->areDeparturesKnown = m_areDeparturesKnown;
     for (LinkId it : m_links)
         target->admission.linkOpened(it);
@@ -935,7 +936,10 @@
             auto* response = std::get_if<HttpResponse>(&result);
             HealthResult health = HealthResult::Unreadable;
             if (response) {
-                recordColdTime(target, recordReport(target, *response, now, steadyNow()));
+                auto report = recordReport(target, *response, now, steadyNow());
+                // An error without a cold time does not say that the target is warm.
+                if (response->status == 200 || report.coldFor)
+                    recordColdTime(target, report);
                 health = response->status == 200 ? HealthResult::Good : HealthResult::Bad;
             }
             target.probe.noteHealth(health, steadyNow());
--- a/Source/Peer/GossipCodec.cpp
+++ b/Source/Peer/GossipCodec.cpp
@@ -206,10 +206,11 @@
 {
     builder.setEra(evacuation.era);
     builder.setVersion(evacuation.version);
-    auto zones = builder.initZones(static_cast<unsigned>(evacuation.zones.size()));
-    unsigned i = 0;
-    for (auto& it : evacuation.zones)
-        zones.set(i++, textOf(it.text));
+    // Receivers reject a message with more zones as a whole.
+    auto count = static_cast<unsigned>(std::min(evacuation.zones.size(), maximumEvacuatedZones));
+    auto zones = builder.initZones(count);
+    for (unsigned i = 0; i < count; ++i)
+        zones.set(i, textOf(evacuation.zones[i].text));
 }
 
 EvacuatedZones readEvacuation(Schema::Evacuation::Reader reader)
--- a/Source/Settings/NodeSettings.h
+++ b/Source/Settings/NodeSettings.h
@@ -107,6 +107,11 @@
     uint32_t loadReadsPerSecond { 0 };
 };
 
+struct MemorySection {
+    // What this process may take. Zero: what the VM has. The parts that hold requests and answers are bounded by it.
+    uint32_t limitMegabytes { 0 };
+};
+
 struct LogSection {
     std::string level { "info" };
     // Empty: standard error only, as the VMs have no disks.
@@ -137,6 +142,7 @@
     RoutingSection routing;
     RetrySection retry;
     MeasureSection measure;
+    MemorySection memory;
     LogSection log;
     TraceSection trace;
     ShutdownSection shutdown;
--- a/Source/Settings/SettingsSchema.cpp
+++ b/Source/Settings/SettingsSchema.cpp
@@ -331,6 +331,8 @@
         share({ "measure", "cpu_share", "measuring's part of one core" }, Field { &S::measure, &M::cpuShare }, 0, 0.1));
     list.push_back(number({ "measure", "load_reads_per_second", "reads of the speed of the VM while calls arrive" },
         "count", Field { &S::measure, &M::loadReadsPerSecond }, 0, 50));
+    list.push_back(number({ "memory", "limit_mb", "memory of this process; 0 for that of the VM" }, "MiB",
+        Field { &S::memory, &MemorySection::limitMegabytes }, 0, 1024 * 1024));
     list.push_back(choice({ "log", "level", "least severe events written" }, Field { &S::log, &LogSection::level },
         { "debug", "info", "warning", "error" }));
     list.push_back(text({ "log", "file", "log file; standard error when empty" }, "path or empty",
--- a/tests/Peer/PeerCodecTest.cpp
+++ b/tests/Peer/PeerCodecTest.cpp
@@ -75,7 +75,7 @@
     EXPECT_TRUE(readChangedReply([](Builder) {}).has_value());
     std::vector<std::function<void(Builder)>> changes {
         [](Builder it) { it.setPending(); },
-        [](Builder it) { it.initRefused().setReason(static_cast<Schema::RefusalReason>(19)); },
+        [](Builder it) { it.initRefused().setReason(static_cast<Schema::RefusalReason>(20)); },
         [](Builder it) { it.initRefused().setRetryAfterMicroseconds(UINT64_MAX); },
         [](Builder it) { it.initLost().setReason(static_cast<Schema::LossReason>(8)); },
         [](Builder it) { it.getAnswered().getHttp().setStatus(99); },
