Show that large weights of a split stop the nodes for seconds

TrafficSplit steps through the cycle of the weights to its random start, in the only thread of the process.

With weights of 4,000,000,000 and 2,000,000,000 no node answers for seconds.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the disruption.
+set -u
+cd "$(dirname "$0")" || exit 2
+exec python3 case.py
